--- /dev/null
+++ b/internal/frontdoor/clients.go
@@ -0,0 +1,268 @@
+package frontdoor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	ct "cypresstrack"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// A client's time counts from when it sent the request, which is before we see it, and its answer must
+	// reach it before that time is up. So the gateway is told of less time by the first margin, and the last
+	// moment, at which a request without an answer is answered here, lies the second margin before the end.
+	gatewayMargin    = 40 * time.Millisecond
+	lastMomentMargin = 20 * time.Millisecond
+
+	maxCustomer = 1 << 33
+
+	// After SIGTERM new connections are taken for at least drainLeast, then until none has come for
+	// drainQuiet, and for no longer than drainMost. The platform kills us no sooner than drainMost after the
+	// longest deadline.
+	drainLeast = 500 * time.Millisecond
+	drainQuiet = 150 * time.Millisecond
+	drainMost  = 700 * time.Millisecond
+)
+
+// Clients is the side of the front door that clients see.
+type Clients struct {
+	loop     *Loop
+	settings ct.Settings
+	classes  map[string]ct.Class
+	plans    map[string]bool
+	longest  time.Duration // of all deadlines
+	closing  atomic.Bool
+	lastConn atomic.Int64 // when the last connection was accepted, Unix time in nanoseconds
+	badLog   rate.Sometimes
+	lateLog  rate.Sometimes
+}
+
+// NewClients serves clients from a loop.
+func NewClients(settings ct.Settings, loop *Loop) *Clients {
+	c := &Clients{loop: loop, settings: settings, classes: map[string]ct.Class{}, plans: map[string]bool{},
+		badLog: rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second}}
+	for _, class := range settings.Classes {
+		c.classes[class.Name] = class
+		c.longest = max(c.longest, class.Deadline)
+	}
+	for _, plan := range settings.Plans {
+		c.plans[plan.Name] = true
+	}
+	return c
+}
+
+// Run serves clients on a listener until ctx ends, and then for as long as it takes to lose nothing: it goes
+// on accepting while clients still come, stops listening, and returns when it holds no request.
+func (c *Clients) Run(ctx context.Context, listener net.Listener) error {
+	srv := &http.Server{
+		Handler:           c,
+		ReadHeaderTimeout: 5 * time.Second,
+		// These also run while a request waits for its answer, and a read that times out then would look as
+		// if the client had gone.
+		ReadTimeout:    c.longest + 10*time.Second,
+		WriteTimeout:   c.longest + 10*time.Second,
+		IdleTimeout:    2 * time.Minute,
+		MaxHeaderBytes: 16 << 10,
+		ErrorLog:       slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			if s == http.StateNew {
+				c.lastConn.Store(time.Now().UnixNano())
+			}
+		},
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- srv.Serve(listener) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	c.closing.Store(true)
+	start := time.Now()
+	for time.Since(start) < drainLeast ||
+		time.Since(start) < drainMost && time.Since(time.Unix(0, c.lastConn.Load())) < drainQuiet {
+		time.Sleep(10 * time.Millisecond)
+	}
+	stop, cancel := context.WithTimeout(context.Background(), c.longest)
+	defer cancel()
+	return srv.Shutdown(stop)
+}
+
+// ServeHTTP takes one request and gives it its one final answer.
+func (c *Clients) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if c.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/ready" {
+		return // 200: there is a loop, so it is ready
+	}
+	req, msg, timeout, err := c.parse(r)
+	if err == nil {
+		msg.body, err = readBody(w, r, msg.method)
+	}
+	if err == nil {
+		req.Patience = timeout - gatewayMargin - time.Since(arrived)
+		ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(timeout-lastMomentMargin))
+		defer cancel()
+		var a answer
+		if a, err = c.loop.Serve(ctx, req, msg); err == nil {
+			c.answer(w, a)
+			return
+		}
+	}
+	switch {
+	case errors.Is(err, context.Canceled): // nobody is there to be told
+	case errors.Is(err, context.DeadlineExceeded):
+		c.lateLog.Do(func() { slog.Warn("answered at the last moment", "class", req.Class, "timeout", timeout) })
+		w.WriteHeader(http.StatusGatewayTimeout)
+	default:
+		c.badLog.Do(func() { slog.Warn("bad request", "from", r.RemoteAddr, "err", err) })
+		status := http.StatusBadRequest
+		if errors.Is(err, errBigRequest) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		http.Error(w, err.Error(), status)
+	}
+}
+
+func (c *Clients) answer(w http.ResponseWriter, a answer) {
+	h := w.Header()
+	switch a.kind {
+	case served:
+		h["Content-Type"] = a.reply.contentType // nil: none is guessed
+		h.Set("Content-Length", strconv.Itoa(len(a.reply.body)))
+		_, _ = w.Write(a.reply.body) // if it fails, the connection is closed: the client sees a cut answer
+	case refused:
+		if a.retryAfter > 0 {
+			h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusBadGateway)
+	}
+}
+
+var errBigRequest = errors.New("the body is over 64 KiB")
+
+func readBody(w http.ResponseWriter, r *http.Request, method string) ([]byte, error) {
+	if r.ContentLength > maxBody {
+		return nil, errBigRequest
+	}
+	if method == http.MethodGet {
+		return nil, nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if big := (*http.MaxBytesError)(nil); errors.As(err, &big) {
+		return nil, errBigRequest
+	}
+	return body, err
+}
+
+// parse reads all of a request but its body. What it lets through is safe to pass to the gateway.
+func (c *Clients) parse(r *http.Request) (req ct.Request, msg *message, timeout time.Duration, err error) {
+	bad := func(what, value string) (ct.Request, *message, time.Duration, error) {
+		return ct.Request{}, nil, 0, fmt.Errorf("%s: %.40q", what, value)
+	}
+	id, err := parseHex(r.Header.Get("Request-Id"))
+	if err != nil {
+		return bad("Request-Id", r.Header.Get("Request-Id"))
+	}
+	class, ok := c.classes[r.Header.Get("Request-Class")]
+	if !ok {
+		return bad("Request-Class", r.Header.Get("Request-Class"))
+	}
+	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != class.Name ||
+		!strings.HasPrefix(r.RequestURI, "/") {
+		return bad("path of another class", r.RequestURI)
+	}
+	method := http.MethodPost
+	if class.Effect == ct.Safe {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		return bad("method", r.Method)
+	}
+	if method == http.MethodGet && r.ContentLength != 0 {
+		return bad("a GET with a body", r.RequestURI)
+	}
+	if class.Effect == ct.Keyed && r.Header.Get("Idempotency-Key") == "" {
+		return bad("Idempotency-Key", "")
+	}
+	plan := r.Header.Get("X-Tier")
+	if !c.plans[plan] {
+		return bad("X-Tier", plan)
+	}
+	customer, err := parseHex(r.Header.Get("X-Api-Key"))
+	if err != nil || customer >= maxCustomer {
+		return bad("X-Api-Key", r.Header.Get("X-Api-Key"))
+	}
+	seconds, err := strconv.ParseFloat(r.Header.Get("Request-Timeout"), 64)
+	if err != nil || !(seconds > 0) || math.IsInf(seconds, 0) {
+		return bad("Request-Timeout", r.Header.Get("Request-Timeout"))
+	}
+	timeout = time.Duration(min(seconds, class.Deadline.Seconds()) * float64(time.Second))
+	req = ct.Request{ID: ct.RequestID(id), Customer: ct.CustomerID(customer), Class: class.Name, Plan: plan}
+	if err := c.parseTerms(r.Header.Get("X-Call-Terms"), &req); err != nil {
+		return bad("X-Call-Terms", r.Header.Get("X-Call-Terms"))
+	}
+	msg = &message{method: method, target: r.RequestURI, host: r.Host, header: http.Header{"User-Agent": {""}}}
+	for _, name := range []string{"Request-Id", "Idempotency-Key", "Content-Type"} {
+		if v, ok := r.Header[name]; ok {
+			msg.header[name] = v
+		}
+	}
+	return req, msg, timeout, nil
+}
+
+var errTerms = errors.New("terms that make no sense")
+
+// parseTerms reads "units=2,spread=3,first=1"; each must be there once, and in range.
+func (c *Clients) parseTerms(text string, req *ct.Request) error {
+	var units, spread, first bool
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		var err error
+		var again bool
+		switch name {
+		case "units":
+			again, units = units, true
+			req.Units, err = strconv.ParseFloat(value, 64)
+		case "spread":
+			again, spread = spread, true
+			req.Spread, err = strconv.Atoi(value)
+		case "first":
+			again, first = first, true
+			req.FirstDoor, err = strconv.Atoi(value)
+		}
+		if err != nil || again {
+			return errTerms
+		}
+	}
+	s := c.settings
+	if !units || !spread || !first || !(req.Units > 0) || math.IsInf(req.Units, 0) ||
+		s.LargestUnits > 0 && req.Units > s.LargestUnits ||
+		req.Spread < 1 || req.Spread > s.FrontDoors || req.FirstDoor < 0 || req.FirstDoor >= s.FrontDoors {
+		return errTerms
+	}
+	return nil
+}
+
+func parseHex(s string) (uint64, error) {
+	if len(s) != 16 {
+		return 0, strconv.ErrSyntax
+	}
+	return strconv.ParseUint(s, 16, 64)
+}
--- /dev/null
+++ b/internal/frontdoor/config.go
@@ -0,0 +1,91 @@
+// Package frontdoor puts one gateway of package cypresstrack on real sockets: it takes clients' requests over
+// HTTP, carries out the gateway's decisions towards the backends and follows discovery. It decides nothing
+// itself. config.go reads the configuration, loop.go owns the gateway, clients.go and backends.go are the two
+// sides of a request, discovery.go keeps the list of backends up to date.
+package frontdoor
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+
+	ct "cypresstrack"
+	"cypresstrack/internal/wire"
+)
+
+// Limits are what this front door may use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is what a front door is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     EndpointList // the backends as this front door last had them
+	Settings  ct.Settings
+	Conns     wire.Connections
+}
+
+// LoadConfig reads and checks the file that NODE_CONFIG names.
+func LoadConfig(path string) (Config, error) {
+	if path == "" {
+		return Config{}, errors.New("NODE_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := parseConfig(text)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parseConfig(text []byte) (Config, error) {
+	var file struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     EndpointList    `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return Config{}, err
+	}
+	if file.Listen == "" || file.Discovery == "" {
+		return Config{}, errors.New("it names no listen or no discovery address")
+	}
+	seed, err := strconv.ParseUint(file.Seed, 16, 64)
+	if err != nil {
+		return Config{}, fmt.Errorf("seed: %w", err)
+	}
+	if l := file.Limits; l.Cores <= 0 || l.MemoryMB <= 0 || l.Sockets <= 0 {
+		return Config{}, fmt.Errorf("limits %+v are not all above 0", l)
+	}
+	if len(file.Settings) == 0 {
+		return Config{}, errors.New("it holds no settings")
+	}
+	settings, conns, err := wire.DecodeSettings(file.Settings)
+	if err != nil {
+		return Config{}, err
+	}
+	if err := settings.Validate(); err != nil {
+		return Config{}, err
+	}
+	if conns.Idle <= 0 || conns.Connect <= 0 {
+		return Config{}, errors.New("settings without the time-outs of connections")
+	}
+	return Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Seed: seed,
+		Limits: file.Limits, Known: file.Known, Settings: settings, Conns: conns}, nil
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -110,6 +110,8 @@
 		Parallel   bool  `json:"parallel_tries"`
 		RetryAfter bool  `json:"retry_after"`
 		MaxAfter   int64 `json:"max_retry_after_us"`
+		ConnIdle   int64 `json:"conn_idle_us"`
+		Connect    int64 `json:"connect_timeout_us"`
 	} `json:"policy_limits"`
 	Duties struct {
 		Grace    int64   `json:"grace_to_answer_us"`
@@ -266,12 +268,28 @@
 }
 
 func decodeStart(l line) (*Start, error) {
-	var p params
 	if len(l.Params) == 0 {
 		return nil, errors.New("boot without settings")
 	}
-	if err := json.Unmarshal(l.Params, &p); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+	s, _, err := DecodeSettings(l.Params)
+	if err != nil {
+		return nil, err
+	}
+	return &Start{Seed: l.Seed, Settings: s}, nil
+}
+
+// Connections are the settings on connections to backends. Only a front door on real sockets needs them.
+type Connections struct {
+	Idle    time.Duration // a backend closes one that was idle for this long
+	Connect time.Duration // one that is not up by then counts as failed
+}
+
+// DecodeSettings reads the settings of an instance. They have the same form on the wire and in the
+// configuration of a real front door.
+func DecodeSettings(text []byte) (ct.Settings, Connections, error) {
+	var p params
+	if err := json.Unmarshal(text, &p); err != nil {
+		return ct.Settings{}, Connections{}, fmt.Errorf("settings: %w", err)
 	}
 	s := ct.Settings{FrontDoors: p.Balancers, Me: p.Me, Zone: p.Zone, MeterPeriod: us(p.Family.Meter),
 		LargestUnits: p.Family.Largest, MaxAttempts: p.Limits.Attempts, ParallelTries: p.Limits.Parallel,
@@ -286,7 +304,8 @@
 		effect, ok := effects[c.Effect]
 		group, ok2 := groups[c.Group]
 		if !ok || !ok2 {
-			return nil, fmt.Errorf("class %q has the effect %q and the group %q", c.Name, c.Effect, c.Group)
+			return ct.Settings{}, Connections{}, fmt.Errorf("class %q has the effect %q and the group %q",
+				c.Name, c.Effect, c.Group)
 		}
 		s.Classes = append(s.Classes, ct.Class{Name: c.Name, Effect: effect, Group: group,
 			KeyWindow: us(c.KeyTTL), Aim: us(c.Aim), Deadline: us(c.Deadline), Worth: c.Gain,
@@ -297,7 +316,7 @@
 			Price: t.Value, OverWorth: t.OverWorth, OverCost: t.OverCost, CeilingRate: t.CeilRate,
 			CeilingBurst: t.CeilDepth, CeilingSlack: t.CeilSlack})
 	}
-	return &Start{Seed: l.Seed, Settings: s}, nil
+	return s, Connections{Idle: us(p.Limits.ConnIdle), Connect: us(p.Limits.Connect)}, nil
 }
 
 // AppendAction writes one action of an instance as a line.
