Every refusal says when to come back

Cause: all three places in gateway.go that refuse gave RetryAfter 0, so a refusal, which is given at once, told the client nothing and invited the next try into the same answer. Checked that the adapter and the front door pass the figure on unchanged; the module never set it.

Also: discovery's entries are checked before the lock is taken, so that no log line is written under it; a header that is there twice is a bad request; /ready says 503 while the front door ends.

--- a/gateway.go
+++ b/gateway.go
@@ -222,7 +222,7 @@
 	}
 	c := g.customer(ev, plan)
 	if !g.withinQuota(c, ev.Units) || !g.underCeiling(c, ev.Units) {
-		g.act(Refuse{Request: ev.ID})
+		g.act(Refuse{ev.ID, g.untilQuota(c, ev.Units)})
 		return
 	}
 	worth := cl.Worth * plan.Price * ev.Units
@@ -237,7 +237,7 @@
 		s = g.takeSlot(high)
 	}
 	if s == nil {
-		g.act(Refuse{Request: ev.ID})
+		g.act(Refuse{ev.ID, g.untilSlot()})
 		return
 	}
 	g.seq++
@@ -811,7 +811,7 @@
 	t := r.ran()
 	if t == nil || r.class.Effect == Safe ||
 		r.class.Effect == Keyed && r.class.Group == GroupAll && g.now-t.sent < r.class.KeyWindow {
-		g.act(Refuse{Request: r.id})
+		g.act(Refuse{r.id, g.untilSlot()})
 	} else {
 		g.act(Fail{Request: r.id})
 	}
--- a/internal/frontdoor/backends.go
+++ b/internal/frontdoor/backends.go
@@ -102,7 +102,7 @@
 	return b
 }
 
-// update applies news to the list and gives it in the gateway's form. Entries that make no sense are passed over.
+// update applies news to the list and gives it in the gateway's form.
 func (b *Backends) update(list EndpointList, c clock) []ct.BackendInfo {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -113,11 +113,6 @@
 		}
 	}
 	for _, e := range list.Hosts {
-		state, ok := states[e.Health]
-		if !ok || e.Host == "" || e.Dial == "" && state != ct.Gone {
-			slog.Warn("discovery: an entry that makes no sense", "host", e.Host, "health", e.Health, "dial", e.Dial)
-			continue
-		}
 		be := b.byHost[e.Host]
 		if be == nil {
 			be = &backend{id: ct.BackendID(len(b.byHost) + 1), transport: b.conns()}
@@ -126,8 +121,8 @@
 		if be.addr != e.Dial || be.born != e.BornMS {
 			be.transport.CloseIdleConnections() // they lead to what was there before
 		}
-		be.addr, be.born, be.state = e.Dial, e.BornMS, state
-		infos = append(infos, ct.BackendInfo{ID: be.id, State: state, Zone: e.Site, Kind: e.Class, Cell: e.Block,
+		be.addr, be.born, be.state = e.Dial, e.BornMS, states[e.Health]
+		infos = append(infos, ct.BackendInfo{ID: be.id, State: be.state, Zone: e.Site, Kind: e.Class, Cell: e.Block,
 			Started: c.unixMilli(e.BornMS), Weight: e.Share})
 	}
 	for _, be := range b.byHost {
@@ -200,8 +195,10 @@
 	default:
 		r.result = ct.NoConnection
 	}
-	if r.result == ct.Broken || r.result == ct.NoConnection {
+	if r.result == ct.Broken {
 		transport.CloseIdleConnections() // whatever ended this one has most likely ended them too
+	}
+	if r.result == ct.Broken || r.result == ct.NoConnection {
 		b.faultLog.Do(func() { slog.Warn("an attempt broke", "backend", addr, "err", err) })
 	}
 	return r
--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -107,7 +107,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" {
-		return // 200: there is a loop, so it is ready
+		if c.closing.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
 	}
 	req, msg, timeout, err := c.parse(r)
 	if err == nil {
@@ -176,13 +179,25 @@
 	bad := func(what, value string) (ct.Request, *message, time.Duration, error) {
 		return ct.Request{}, nil, 0, fmt.Errorf("%s: %.40q", what, value)
 	}
-	id, err := parseHex(r.Header.Get("Request-Id"))
+	// A header that is there twice could be read in two ways, here and behind us.
+	h := map[string]string{}
+	for _, name := range []string{"Request-Id", "Request-Class", "X-Tier", "X-Api-Key", "Request-Timeout",
+		"X-Call-Terms", "Idempotency-Key"} {
+		switch v := r.Header[name]; len(v) {
+		case 0:
+		case 1:
+			h[name] = v[0]
+		default:
+			return bad(name, strings.Join(v, ", "))
+		}
+	}
+	id, err := parseHex(h["Request-Id"])
 	if err != nil {
-		return bad("Request-Id", r.Header.Get("Request-Id"))
+		return bad("Request-Id", h["Request-Id"])
 	}
-	class, ok := c.classes[r.Header.Get("Request-Class")]
+	class, ok := c.classes[h["Request-Class"]]
 	if !ok {
-		return bad("Request-Class", r.Header.Get("Request-Class"))
+		return bad("Request-Class", h["Request-Class"])
 	}
 	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != class.Name ||
 		!strings.HasPrefix(r.RequestURI, "/") {
@@ -198,25 +213,24 @@
 	if method == http.MethodGet && r.ContentLength != 0 {
 		return bad("a GET with a body", r.RequestURI)
 	}
-	if class.Effect == ct.Keyed && r.Header.Get("Idempotency-Key") == "" {
+	if class.Effect == ct.Keyed && h["Idempotency-Key"] == "" {
 		return bad("Idempotency-Key", "")
 	}
-	plan := r.Header.Get("X-Tier")
-	if !c.plans[plan] {
-		return bad("X-Tier", plan)
+	if !c.plans[h["X-Tier"]] {
+		return bad("X-Tier", h["X-Tier"])
 	}
-	customer, err := parseHex(r.Header.Get("X-Api-Key"))
+	customer, err := parseHex(h["X-Api-Key"])
 	if err != nil || customer >= maxCustomer {
-		return bad("X-Api-Key", r.Header.Get("X-Api-Key"))
+		return bad("X-Api-Key", h["X-Api-Key"])
 	}
-	seconds, err := strconv.ParseFloat(r.Header.Get("Request-Timeout"), 64)
+	seconds, err := strconv.ParseFloat(h["Request-Timeout"], 64)
 	if err != nil || !(seconds > 0) || math.IsInf(seconds, 0) {
-		return bad("Request-Timeout", r.Header.Get("Request-Timeout"))
+		return bad("Request-Timeout", h["Request-Timeout"])
 	}
 	timeout = time.Duration(min(seconds, class.Deadline.Seconds()) * float64(time.Second))
-	req = ct.Request{ID: ct.RequestID(id), Customer: ct.CustomerID(customer), Class: class.Name, Plan: plan}
-	if err := c.parseTerms(r.Header.Get("X-Call-Terms"), &req); err != nil {
-		return bad("X-Call-Terms", r.Header.Get("X-Call-Terms"))
+	req = ct.Request{ID: ct.RequestID(id), Customer: ct.CustomerID(customer), Class: class.Name, Plan: h["X-Tier"]}
+	if err := c.parseTerms(h["X-Call-Terms"], &req); err != nil {
+		return bad("X-Call-Terms", h["X-Call-Terms"])
 	}
 	msg = &message{method: method, target: r.RequestURI, host: r.Host, header: http.Header{"User-Agent": {""}}}
 	for _, name := range []string{"Request-Id", "Idempotency-Key", "Content-Type"} {
--- a/internal/frontdoor/discovery.go
+++ b/internal/frontdoor/discovery.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	ct "cypresstrack"
@@ -37,6 +38,18 @@
 
 var states = map[string]ct.BackendState{"Ready": ct.Ready, "Terminating": ct.Draining, "Gone": ct.Gone}
 
+// usable leaves out the entries that make no sense.
+func usable(hosts []Endpoint) []Endpoint {
+	return slices.DeleteFunc(hosts, func(e Endpoint) bool {
+		state, ok := states[e.Health]
+		bad := !ok || e.Host == "" || e.Dial == "" && state != ct.Gone || e.BornMS < 0
+		if bad {
+			slog.Warn("discovery: an entry that makes no sense", "entry", e)
+		}
+		return bad
+	})
+}
+
 const (
 	// A watch says something every 2 s, if only an empty line. One that is silent for longer is dead.
 	watchSilence = 3 * time.Second
@@ -87,6 +100,7 @@
 		if err := lines.Decode(&list); err != nil {
 			return err
 		}
+		slog.Info("discovery", "seq", list.Seq, "whole", list.Whole, "hosts", list.Hosts)
 		update(list)
 		*from = list.Seq
 	}
--- a/internal/frontdoor/loop.go
+++ b/internal/frontdoor/loop.go
@@ -58,6 +58,11 @@
 	out      int // attempts that have not ended
 }
 
+// decider is what the loop needs of the gateway.
+type decider interface {
+	Handle(now time.Duration, ev ct.Event, actions []ct.Action) []ct.Action
+}
+
 // Loop owns the gateway. Under one lock it passes on what happens, one event after another, and carries out
 // the actions in order. Nothing that it does under the lock waits for I/O.
 type Loop struct {
@@ -65,7 +70,7 @@
 	backends *Backends
 
 	mu      sync.Mutex
-	gateway *ct.Gateway
+	gateway decider
 	calls   map[ct.RequestID]*call
 	events  []ct.Event  // not yet handled; an action may add to them
 	actions []ct.Action // kept for its memory
@@ -73,15 +78,20 @@
 
 // NewLoop starts a gateway that knows the backends of the configuration.
 func NewLoop(c Config, backends *Backends) (*Loop, error) {
-	l := &Loop{clock: clock{time.Now()}, backends: backends, calls: map[ct.RequestID]*call{}}
-	var err error
-	if l.gateway, err = ct.New(c.Settings, c.Seed, l.clock.now()); err != nil {
+	k := clock{time.Now()}
+	gateway, err := ct.New(c.Settings, c.Seed, k.now())
+	if err != nil {
 		return nil, err
 	}
+	l := newLoop(k, gateway, backends)
 	l.update(c.Known, ct.ListSaved)
 	return l, nil
 }
 
+func newLoop(k clock, gateway decider, backends *Backends) *Loop {
+	return &Loop{clock: k, gateway: gateway, backends: backends, calls: map[ct.RequestID]*call{}}
+}
+
 // Update takes in news from discovery.
 func (l *Loop) Update(list EndpointList) {
 	kind := ct.ListChanges
@@ -92,6 +102,7 @@
 }
 
 func (l *Loop) update(list EndpointList, kind ct.ListKind) {
+	list.Hosts = usable(list.Hosts)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.handle(ct.BackendList{Kind: kind, Backends: l.backends.update(list, l.clock)})
