--- /dev/null
+++ b/internal/frontdoor/backends_test.go
@@ -0,0 +1,254 @@
+package frontdoor
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	ct "cypresstrack"
+)
+
+func attempts(t *testing.T, addr string) (*Backends, ct.BackendID) {
+	t.Helper()
+	b := NewBackends(config(t))
+	return b, b.update(ready(addr), clock{time.Now()})[0].ID
+}
+
+var lookMessage = &message{method: http.MethodGet, target: "/look", host: "origin.svc", header: http.Header{"Request-Id": {"9b1f03aa5c7e2d41"}}}
+
+var payMessage = &message{method: http.MethodPost, target: "/pay", host: "origin.svc",
+	header: http.Header{"Request-Id": {"9b1f03aa5c7e2d42"}, "Idempotency-Key": {"k"}}, body: []byte("amount=3")}
+
+const okReply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// The transport sends a GET, and a POST with an Idempotency-Key, again by itself when a kept connection turns
+// out dead. Such a copy is an attempt that the gateway knows nothing of.
+func TestNothingIsSentAgainOnADeadConnection(t *testing.T) {
+	for name, m := range map[string]*message{"GET": lookMessage, "keyed POST": payMessage} {
+		var seen atomic.Int64
+		addr := raw(t, func(n int, conn net.Conn) {
+			seen.Add(1)
+			if n == 1 {
+				io.WriteString(conn, okReply)
+			} else {
+				conn.Close() // read whole, never answered
+			}
+		})
+		b, id := attempts(t, addr)
+		ctx, cancel := context.WithTimeout(t.Context(), patient)
+		defer cancel()
+		if r := b.send(ctx, id, m); r.result != ct.Answered {
+			t.Fatalf("%s: first attempt ended as %v", name, r.result)
+		}
+		if r := b.send(ctx, id, m); r.result != ct.Broken {
+			t.Errorf("%s: on a connection that broke the attempt ended as %v, want Broken", name, r.result)
+		}
+		if n := seen.Load(); n != 2 {
+			t.Errorf("%s: the backend read %d requests, 2 were sent", name, n)
+		}
+	}
+}
+
+// What an attempt's end proves decides whether a request may be tried again or refused.
+func TestHowAttemptsEnd(t *testing.T) {
+	reply := func(status int, header ...string) func(int, net.Conn) {
+		return func(_ int, conn net.Conn) {
+			res := &http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{},
+				ContentLength: 2, Body: io.NopCloser(strings.NewReader("ok"))}
+			for i := 0; i+1 < len(header); i += 2 {
+				res.Header.Set(header[i], header[i+1])
+			}
+			res.Write(conn)
+		}
+	}
+	text := func(s string) func(int, net.Conn) {
+		return func(_ int, conn net.Conn) {
+			io.WriteString(conn, s)
+			conn.Close()
+		}
+	}
+	for name, c := range map[string]struct {
+		answer func(int, net.Conn)
+		want   ct.Result
+	}{
+		"served":                  {reply(200), ct.Answered},
+		"error":                   {reply(500), ct.AnsweredErr},
+		"not found":               {reply(404), ct.AnsweredErr},
+		"turned away with 503":    {reply(503, "Not-Started", "1"), ct.Refused},
+		"turned away with 504":    {reply(504, "Not-Started", "1"), ct.Refused},
+		"503 without proof":       {reply(503), ct.AnsweredErr},
+		"504 that denies it":      {reply(504, "Not-Started", "0"), ct.AnsweredErr},
+		"500 never proves it":     {reply(500, "Not-Started", "1"), ct.AnsweredErr},
+		"connection ends":         {text(""), ct.Broken},
+		"body cut midway":         {text("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), ct.Broken},
+		"not HTTP":                {text("\x00\x01garbage\r\n\r\n"), ct.Broken},
+		"body over the limit":     {text("HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", maxBody+1)), ct.Broken},
+		"largest body":            {text("HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", maxBody)), ct.Answered},
+		"unreadable use and load": {reply(200, "X-RateLimit-Used", "lots", "Server-Load", "queue=x,qps="), ct.Answered},
+	} {
+		b, id := attempts(t, raw(t, c.answer))
+		ctx, cancel := context.WithTimeout(t.Context(), patient)
+		if r := b.send(ctx, id, payMessage); r.result != c.want || r.hasUse || r.load != nil {
+			t.Errorf("%s: %v, want %v; use %v, load %v", name, r.result, c.want, r.hasUse, r.load)
+		}
+		cancel()
+	}
+}
+
+func TestNoConnectionIsToldFromNoAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close() // nobody listens there now
+	b, id := attempts(t, ln.Addr().String())
+	if r := b.send(t.Context(), id, payMessage); r.result != ct.NoConnection {
+		t.Errorf("refused connection: %v", r.result)
+	}
+	silent := func(_ int, _ net.Conn) { <-t.Context().Done() }
+	b, id = attempts(t, raw(t, silent))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if r := b.send(ctx, id, payMessage); r.result != ct.TimedOut {
+		t.Errorf("no answer in time: %v", r.result)
+	}
+	read := make(chan bool, 1)
+	b, id = attempts(t, raw(t, func(int, net.Conn) { read <- true; <-t.Context().Done() }))
+	ctx, cancel = context.WithCancel(t.Context())
+	go func() { <-read; cancel() }()
+	if r := b.send(ctx, id, payMessage); r.result != ct.Cancelled {
+		t.Errorf("called off: %v", r.result)
+	}
+}
+
+// The gateway wants the customer's use in percent as the header has it, and the load in the settings' order.
+func TestReadings(t *testing.T) {
+	b, id := attempts(t, serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-RateLimit-Used", "85")
+		w.Header().Set("Server-Load", "qps=31.5, queue=2,new=7")
+	}))
+	r := b.send(t.Context(), id, lookMessage)
+	if !r.hasUse || r.use != 85 || !slices.Equal(r.load, []float64{2, 31.5}) {
+		t.Errorf("use %v %v, load %v", r.hasUse, r.use, r.load)
+	}
+}
+
+// A connection can take long to come up. If the backend drains or the request ends meanwhile, nothing may be
+// written to it any more, and the attempt is known never to have run.
+func TestStaleAttemptsAreNotWritten(t *testing.T) {
+	for name, warm := range map[string]bool{"new connection": false, "second attempt": true} {
+		got := make(chan int, 10)
+		addr := raw(t, func(n int, conn net.Conn) {
+			got <- n
+			io.WriteString(conn, okReply)
+		})
+		b := NewBackends(config(t))
+		dialing, goOn := make(chan bool, 1), make(chan bool)
+		plain := b.conns
+		b.conns = func() *http.Transport {
+			tr := plain()
+			dial := tr.DialContext
+			tr.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				dialing <- true
+				<-goOn
+				return dial(ctx, network, addr)
+			}
+			return tr
+		}
+		list := ready(addr)
+		id := b.update(list, clock{time.Now()})[0].ID
+		if warm { // the drain is told between two attempts
+			go func() { <-dialing; goOn <- true }()
+			b.send(t.Context(), id, lookMessage)
+			<-got
+			list.Hosts[0].Health = "Terminating"
+			b.update(list, clock{time.Now()})
+		} else {
+			go func() {
+				<-dialing
+				list.Hosts[0].Health = "Terminating"
+				b.update(list, clock{time.Now()})
+				goOn <- true
+			}()
+		}
+		if r := b.send(t.Context(), id, lookMessage); r.result != ct.NotSent {
+			t.Errorf("%s: to a draining backend: %v, want NotSent", name, r.result)
+		}
+		select {
+		case n := <-got:
+			t.Errorf("%s: the backend read request %d", name, n)
+		default:
+		}
+	}
+}
+
+// A backend may close a connection that was idle for the settings' time, and a request that crosses the close
+// is lost; so this side closes first. A new process or address takes no request on the old one's connections.
+func TestKeptConnections(t *testing.T) {
+	conns, closed := make(chan bool, 10), make(chan bool, 10)
+	s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		ConnState: func(_ net.Conn, st http.ConnState) {
+			switch st {
+			case http.StateNew:
+				conns <- true
+			case http.StateClosed:
+				closed <- true
+			}
+		}}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(ln)
+	t.Cleanup(func() { s.Close() })
+	c := config(t)
+	b := NewBackends(c)
+	list := ready(ln.Addr().String())
+	id := b.update(list, clock{time.Now()})[0].ID
+	for range 5 {
+		if r := b.send(t.Context(), id, lookMessage); r.result != ct.Answered {
+			t.Fatal(r.result)
+		}
+	}
+	if n := len(conns); n != 1 {
+		t.Errorf("%d connections for 5 attempts, one after another", n)
+	}
+	list.Hosts[0].BornMS = 1 // a new process
+	if again := b.update(list, clock{time.Now()})[0].ID; again != id {
+		t.Errorf("the host has the id %v, it had %v", again, id)
+	}
+	await(t, closed, "the old process's connection to be closed")
+
+	c.Conns.Idle = 50 * time.Millisecond
+	b = NewBackends(c)
+	id = b.update(list, clock{time.Now()})[0].ID
+	b.send(t.Context(), id, lookMessage)
+	await(t, closed, "the idle connection to be closed")
+}
+
+func await(t *testing.T, c <-chan bool, what string) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(patient):
+		t.Fatalf("waited in vain for %s", what)
+	}
+}
+
+func TestProbe(t *testing.T) {
+	b, id := attempts(t, serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/status/load" {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		io.WriteString(w, "queue=3,qps=9\n")
+	}))
+	if p := b.probe(id); p.Result != ct.Answered || !slices.Equal(p.Load, []float64{3, 9}) {
+		t.Errorf("%+v", p)
+	}
+}
--- /dev/null
+++ b/internal/frontdoor/discovery_test.go
@@ -0,0 +1,108 @@
+package frontdoor
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	ct "cypresstrack"
+)
+
+const entry = `{"host":"s-1","dial":"127.0.0.1:%d","site":"a","class":"m2","block":3,"health":"%s","share":1.0,"born_ms":0}`
+
+// A watch that is silent, ends or says what cannot be read is given up, and the next one asks from the version
+// that was heard last: nothing that discovery told may be lost on the way, a drain least of all.
+func TestWatchGoesOnWhereItWas(t *testing.T) {
+	asked := make(chan string, 10)
+	n := 0
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		n++
+		asked <- r.URL.RawQuery
+		switch n {
+		case 1:
+			fmt.Fprintf(w, `{"seq":42,"whole":true,"hosts":[`+entry+"]}\n", 7, "Ready")
+			w.(http.Flusher).Flush()
+			<-r.Context().Done() // silent until given up
+		case 2:
+			fmt.Fprintf(w, `{"seq":43,"whole":false,"hosts":[{"host":7}]}`+"\n")
+		default:
+			fmt.Fprintf(w, "\n"+`{"seq":43,"whole":false,"hosts":[`+entry+"]}\n", 7, "Terminating")
+		}
+	})
+	lists := make(chan EndpointList, 10)
+	from := int64(41)
+	for want, wantSeq := range []int64{42, 42, 43} {
+		ctx, cancel := context.WithTimeout(t.Context(), patient)
+		err := watch(ctx, &http.Transport{}, addr, 300*time.Millisecond, &from, func(l EndpointList) { lists <- l })
+		if err == nil || ctx.Err() != nil || from != wantSeq {
+			t.Errorf("watch %d ended with %v at version %d, want %d", want+1, err, from, wantSeq)
+		}
+		cancel()
+	}
+	for i, want := range []string{"watch=1&from=41", "watch=1&from=42", "watch=1&from=42"} {
+		if got := <-asked; got != want {
+			t.Errorf("watch %d asked %q, want %q", i+1, got, want)
+		}
+	}
+	if a, b := <-lists, <-lists; !a.Whole || a.Hosts[0].Block != 3 || b.Hosts[0].Health != "Terminating" {
+		t.Errorf("heard %+v and %+v", a, b)
+	}
+}
+
+// Empty lines keep a watch alive for longer than its time-out.
+func TestEmptyLinesKeepAWatch(t *testing.T) {
+	const silence = 400 * time.Millisecond
+	addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		for range 12 {
+			fmt.Fprintln(w)
+			w.(http.Flusher).Flush()
+			time.Sleep(silence / 8)
+		}
+		fmt.Fprintln(w, `{"seq":50,"whole":true,"hosts":[]}`)
+	})
+	from := int64(1)
+	err := watch(t.Context(), &http.Transport{}, addr, silence, &from, func(EndpointList) {})
+	if from != 50 {
+		t.Errorf("ended with %v at version %d", err, from)
+	}
+}
+
+// A bad entry is passed over, the rest of its line counts; a host has one id for good, whatever it is told of.
+func TestListsReachTheGateway(t *testing.T) {
+	g := script(nil)
+	b := NewBackends(config(t))
+	k := clock{time.Now()}
+	l := newLoop(k, g, b)
+	e := func(host, dial, health string, born int64) Endpoint {
+		return Endpoint{Host: host, Dial: dial, Health: health, BornMS: born}
+	}
+	hourAgo := k.start.Add(-time.Hour).UnixMilli()
+	l.Update(EndpointList{Whole: true, Hosts: []Endpoint{e("s-1", "127.0.0.1:7", "Ready", 0),
+		e("", "127.0.0.1:7", "Ready", 0), e("s-3", "127.0.0.1:7", "Unwell", 0), e("s-4", "", "Ready", 0),
+		e("s-2", "127.0.0.1:8", "Ready", hourAgo), e("s-5", "127.0.0.1:9", "Ready", 1)}})
+	first := next[ct.BackendList](t, g)
+	if first.Kind != ct.ListFull || len(first.Backends) != 3 {
+		t.Fatalf("%+v", first)
+	}
+	if s := first.Backends[1].Started; s < origin-time.Hour-time.Second || s > origin-time.Hour+time.Second {
+		t.Errorf("a start an hour ago is at %v, and now is %v", s, k.now())
+	}
+	if a, b := first.Backends[0].Started, first.Backends[2].Started; a != 0 || b != 0 {
+		t.Errorf("starts long ago are at %v and %v", a, b)
+	}
+	l.Update(EndpointList{Hosts: []Endpoint{e("s-1", "127.0.0.1:17", "Gone", 0)}})
+	l.Update(EndpointList{Hosts: []Endpoint{e("s-1", "127.0.0.1:27", "Ready", 0)}})
+	if gone, back := next[ct.BackendList](t, g), next[ct.BackendList](t, g); gone.Kind != ct.ListChanges ||
+		gone.Backends[0].State != ct.Gone || back.Backends[0].ID != first.Backends[0].ID {
+		t.Errorf("%+v, then %+v", gone, back)
+	}
+	if _, addr, ok := b.ready(first.Backends[0].ID); !ok || addr != "127.0.0.1:27" {
+		t.Errorf("its address is %q, ready %v", addr, ok)
+	}
+	l.Update(EndpointList{Whole: true}) // what a whole list lacks is gone
+	if _, _, ok := b.ready(first.Backends[0].ID); ok {
+		t.Error("a backend that the whole list lacks may still be sent to")
+	}
+}
