--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", config.Listen)
+	listener, err := net.Listen("tcp", config.Listen)
 	if err != nil {
 		return err
 	}
--- a/internal/frontdoor/backends_test.go
+++ b/internal/frontdoor/backends_test.go
@@ -232,6 +232,32 @@
 	await(t, closed, "the idle connection to be closed")
 }
 
+// The attempts that are out hold sockets, of which a front door may have only so many.
+func TestAttemptsAreBounded(t *testing.T) {
+	read := make(chan bool, 1)
+	addr := raw(t, func(int, net.Conn) { read <- true; <-t.Context().Done() })
+	c := config(t)
+	c.Limits.Sockets = 3
+	b := NewBackends(c)
+	id := b.update(ready(addr), clock{time.Now()})[0].ID
+	ctx, cancel := context.WithCancel(t.Context())
+	first := make(chan ct.Result)
+	go func() { first <- b.send(ctx, id, lookMessage).result }()
+	await(t, read, "the first attempt")
+	if r := b.send(t.Context(), id, lookMessage); r.result != ct.NotSent {
+		t.Errorf("one too many: %v, want NotSent", r.result)
+	}
+	cancel()
+	if r := <-first; r != ct.Cancelled {
+		t.Errorf("the first: %v", r)
+	}
+	addr = serve(t, func(http.ResponseWriter, *http.Request) {})
+	id = b.update(ready(addr), clock{time.Now()})[0].ID
+	if r := b.send(t.Context(), id, lookMessage); r.result != ct.Answered {
+		t.Errorf("with none out: %v", r.result)
+	}
+}
+
 func await(t *testing.T, c <-chan bool, what string) {
 	t.Helper()
 	select {
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/frontdoor/frontdoor_test.go
@@ -32,7 +32,7 @@
   "stats":{"columns":["depth","tps"],"how":"answers"},
   "obligations":{"cold_from":0.2,"warm_within_us":1000000,"fall_multiple":4,"fall_us":1000000}}}`
 
-func config(t *testing.T) Config {
+func config(t testing.TB) Config {
 	t.Helper()
 	c, err := parseConfig([]byte(testConfig))
 	if err != nil {
@@ -57,7 +57,7 @@
 	done chan error
 }
 
-func startDoor(t *testing.T, gateway decider, addrs ...string) *door {
+func startDoor(t testing.TB, gateway decider, addrs ...string) *door {
 	t.Helper()
 	c := config(t)
 	backends := NewBackends(c)
@@ -81,7 +81,7 @@
 }
 
 // ask builds a good request; change alters it.
-func (d *door) ask(t *testing.T, class string, change func(*http.Request)) *http.Request {
+func (d *door) ask(t testing.TB, class string, change func(*http.Request)) *http.Request {
 	t.Helper()
 	method, body := http.MethodGet, io.Reader(nil)
 	if class == "pay" {
@@ -189,7 +189,7 @@
 }
 
 // next is the next event of a type.
-func next[E ct.Event](t *testing.T, s *scripted) E {
+func next[E ct.Event](t testing.TB, s *scripted) E {
 	t.Helper()
 	timeout := time.After(patient)
 	for {
