Never let a client that left read an empty 200

Cause: clients.go, ServeHTTP: when the client's context ended the handler returned without a word, and net/http then writes "200 OK" with no body. A client that closes both ways never sees it, but one that ends only its sending counts as gone as well and does read it: an answer that no backend made. Seen on a loopback socket (TestClientThatEndsItsSending: "it read 200 OK"); ruled out that the loop answers twice: it had told the gateway ClientGone once and held no answer. Mend: a 502 in that place.

--- a/internal/frontdoor/backends.go
+++ b/internal/frontdoor/backends.go
@@ -62,7 +62,7 @@
 type Backends struct {
 	conns    func() *http.Transport
 	columns  []string // names of load figures as in the header, in the order of the settings
-	inBody   bool     // there are load reports, so probes ask for one
+	reports  bool     // there are load reports, so probes ask for one
 	maxOut   int64    // attempts that may be out, for the limit on sockets
 	out      atomic.Int64
 	faultLog rate.Sometimes
@@ -79,7 +79,7 @@
 // NewBackends knows no backends yet.
 func NewBackends(c Config) *Backends {
 	dialer := &net.Dialer{Timeout: c.Conns.Connect, KeepAlive: -1}
-	b := &Backends{inBody: len(c.Settings.LoadColumns) > 0, maxOut: int64(max(1, c.Limits.Sockets/3)),
+	b := &Backends{reports: len(c.Settings.LoadColumns) > 0, maxOut: int64(max(1, c.Limits.Sockets/3)),
 		faultLog: rate.Sometimes{First: 10, Interval: time.Second},
 		byHost:   map[string]*backend{}, byID: map[ct.BackendID]*backend{}}
 	b.conns = func() *http.Transport {
@@ -144,10 +144,7 @@
 	return be.transport, be.addr, true
 }
 
-var (
-	errStale = errors.New("the backend drains or the request has ended")
-	errBig   = errors.New("the answer's body is over 64 KiB")
-)
+var errBig = errors.New("the answer's body is over 64 KiB")
 
 // send makes one attempt and tells how it ended. It never sends twice.
 func (b *Backends) send(ctx context.Context, id ct.BackendID, m *message) *reply {
@@ -183,7 +180,7 @@
 	case err == nil:
 		return r
 	case stale.Load():
-		err, r.result = errStale, ct.NotSent
+		r.result = ct.NotSent
 	case context.Cause(ctx) == context.Canceled:
 		r.result = ct.Cancelled
 	case ctx.Err() != nil && wrote.Load():
@@ -274,7 +271,7 @@
 func (b *Backends) probe(id ct.BackendID) ct.ProbeResult {
 	out := ct.ProbeResult{Backend: id}
 	m := &message{method: http.MethodGet, target: "/health", header: http.Header{}}
-	if b.inBody {
+	if b.reports {
 		m.target = "/status/load"
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -282,7 +279,7 @@
 	start := time.Now()
 	r := b.send(ctx, id, m)
 	out.Result, out.Took, out.Load = r.result, time.Since(start), r.load
-	if b.inBody && r.result == ct.Answered {
+	if b.reports && r.result == ct.Answered {
 		out.Load = b.parseLoad(strings.TrimSpace(string(r.body)))
 	}
 	return out
--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -127,7 +127,10 @@
 		}
 	}
 	switch {
-	case errors.Is(err, context.Canceled): // nobody is there to be told
+	case errors.Is(err, context.Canceled):
+		// Most likely nobody is there to be told. But a client may have ended its sending only, and without a
+		// word from here it would read an empty 200.
+		w.WriteHeader(http.StatusBadGateway)
 	case errors.Is(err, context.DeadlineExceeded):
 		c.lateLog.Do(func() { slog.Warn("answered at the last moment", "class", req.Class, "timeout", timeout) })
 		w.WriteHeader(http.StatusGatewayTimeout)
--- a/internal/frontdoor/clients_test.go
+++ b/internal/frontdoor/clients_test.go
@@ -1,6 +1,7 @@
 package frontdoor
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -162,6 +163,29 @@
 	await(t, closed, "the backend's connection to be closed")
 }
 
+// A client that ends only its sending counts as gone too, but it may still read: what it reads must not look
+// like a served answer.
+func TestClientThatEndsItsSending(t *testing.T) {
+	g := script(nil)
+	d := startDoor(t, g)
+	conn, err := net.Dial("tcp", d.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := d.ask(t, "look", nil).Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	next[ct.Request](t, g)
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	next[ct.ClientGone](t, g)
+	if res, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil && res.StatusCode < 500 {
+		t.Errorf("it read %s", res.Status)
+	}
+}
+
 // An id that is open already would leave the second request without an answer: the gateway passes over it.
 func TestAnIDThatIsOpen(t *testing.T) {
 	g := script(nil)
