Do not blame a backend for a full descriptor table

Cause: backends.go, send: a dial that fails with EMFILE ended as NoConnection, by which the module takes the backend for restarted and cold, one backend after another, though the shortage is the front door's own.

--- a/internal/frontdoor/backends.go
+++ b/internal/frontdoor/backends.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	ct "cypresstrack"
@@ -189,13 +190,15 @@
 		r.result = ct.NotSent
 	case wrote.Load() || res != nil:
 		r.result = ct.Broken
+	case errors.Is(err, syscall.EMFILE): // the shortage is ours, and no fault of the backend
+		r.result = ct.NotSent
 	default:
 		r.result = ct.NoConnection
 	}
 	if r.result == ct.Broken {
 		transport.CloseIdleConnections() // whatever ended this one has most likely ended them too
 	}
-	if r.result == ct.Broken || r.result == ct.NoConnection {
+	if r.result == ct.Broken || r.result == ct.NoConnection || errors.Is(err, syscall.EMFILE) {
 		b.faultLog.Do(func() { slog.Warn("an attempt broke", "backend", addr, "err", err) })
 	}
 	return r
--- a/internal/frontdoor/backends_test.go
+++ b/internal/frontdoor/backends_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -258,6 +260,20 @@
 	}
 }
 
+// A dial that fails as this front door has no descriptor left says nothing of the backend.
+func TestOwnShortageIsNotTheBackends(t *testing.T) {
+	b := NewBackends(config(t))
+	b.conns = func() *http.Transport {
+		return &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+		}}
+	}
+	id := b.update(ready("127.0.0.1:1"), clock{time.Now()})[0].ID
+	if r := b.send(t.Context(), id, lookMessage); r.result != ct.NotSent {
+		t.Errorf("%v, want NotSent", r.result)
+	}
+}
+
 func await(t *testing.T, c <-chan bool, what string) {
 	t.Helper()
 	select {
