Survive SIGHUP, and bound what clients' connections hold

Ruled out: backends' connections (they need under 60) and memory (15 of 64 MB). Heads have 1.5 s, bodies 1 s. A Transfer-Encoding or HTTP/1.0 is turned away: net/http hides one of two framings.

--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -1,5 +1,5 @@
 // Command pumicecroft is one real front door. It is configured by the file that NODE_CONFIG names and serves
-// until SIGTERM.
+// until SIGTERM. SIGHUP makes it read the file again and follow the discovery that it names then.
 package main
 
 import (
@@ -20,13 +20,15 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx, os.Getenv("NODE_CONFIG")); err != nil {
+	hup := make(chan os.Signal, 1) // one that waits stands for all that came since: the file is read after it
+	signal.Notify(hup, syscall.SIGHUP)
+	if err := run(ctx, os.Getenv("NODE_CONFIG"), hup); err != nil {
 		fmt.Fprintln(os.Stderr, "pumicecroft:", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, path string) error {
+func run(ctx context.Context, path string, hup <-chan os.Signal) error {
 	config, err := frontdoor.LoadConfig(path)
 	if err != nil {
 		return err
@@ -44,9 +46,34 @@
 	}
 	watching, stopWatching := context.WithCancel(context.Background())
 	defer stopWatching()
-	go frontdoor.Watch(watching, config.Discovery, config.Known.Seq, loop.Update)
+	moves := make(chan string)
+	go frontdoor.Follow(watching, config.Discovery, config.Known.Seq, moves, loop.Update)
+	go reload(watching, path, hup, moves)
 	slog.Info("serving", "name", config.Name, "listen", config.Listen, "backends", len(config.Known.Hosts))
-	err = frontdoor.NewClients(config.Settings, loop).Run(ctx, listener)
+	err = frontdoor.NewClients(config, loop).Run(ctx, listener)
 	slog.Info("ended", "err", err)
 	return err
 }
+
+// reload reads the file again at each SIGHUP and tells where discovery is now. A file that is no good changes
+// nothing. The counter is not used, and what else the file holds is for the next start.
+func reload(ctx context.Context, path string, hup <-chan os.Signal, moves chan<- string) {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		config, err := frontdoor.LoadConfig(path)
+		if err != nil {
+			slog.Warn("the new configuration is no good, the old one stays", "err", err)
+			continue
+		}
+		slog.Info("configured anew", "discovery", config.Discovery)
+		select {
+		case moves <- config.Discovery:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -28,6 +28,12 @@
 
 	maxCustomer = 1 << 33
 
+	// A client that sends no whole request within headTime and bodyTime of its beginning is not one of ours. A new
+	// connection's head counts from its accept.
+	headTime = 1500 * time.Millisecond
+	bodyTime = time.Second
+	idleTime = 15 * time.Second // that a client may keep a connection without a request
+
 	// After SIGTERM new connections are taken for at least drainLeast, then until none has come for
 	// drainQuiet, and for no longer than drainMost. The platform kills us no sooner than drainMost after the
 	// longest deadline.
@@ -43,6 +49,7 @@
 	classes  map[string]ct.Class
 	plans    map[string]bool
 	longest  time.Duration // of all deadlines
+	conns    *connTable
 	closing  atomic.Bool
 	lastConn atomic.Int64 // when the last connection was accepted, Unix time in nanoseconds
 	badLog   rate.Sometimes
@@ -50,8 +57,9 @@
 }
 
 // NewClients serves clients from a loop.
-func NewClients(settings ct.Settings, loop *Loop) *Clients {
-	c := &Clients{loop: loop, settings: settings, classes: map[string]ct.Class{}, plans: map[string]bool{},
+func NewClients(config Config, loop *Loop) *Clients {
+	settings := config.Settings
+	c := &Clients{loop: loop, settings: settings, conns: newConnTable(config.Limits.clientConns()), classes: map[string]ct.Class{}, plans: map[string]bool{},
 		badLog: rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second}}
 	for _, class := range settings.Classes {
 		c.classes[class.Name] = class
@@ -68,18 +76,18 @@
 func (c *Clients) Run(ctx context.Context, listener net.Listener) error {
 	srv := &http.Server{
 		Handler:           c,
-		ReadHeaderTimeout: 5 * time.Second,
-		// These also run while a request waits for its answer, and a read that times out then would look as
-		// if the client had gone.
-		ReadTimeout:    c.longest + 10*time.Second,
+		ReadHeaderTimeout: headTime,
+		// There is no ReadTimeout: it would also run while a request waits for its answer, and a read that times
+		// out then would look as if the client had gone. Bodies have a limit of their own.
 		WriteTimeout:   c.longest + 10*time.Second,
-		IdleTimeout:    2 * time.Minute,
+		IdleTimeout:    idleTime,
 		MaxHeaderBytes: 16 << 10,
 		ErrorLog:       slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn),
-		ConnState: func(_ net.Conn, s http.ConnState) {
+		ConnState: func(conn net.Conn, s http.ConnState) {
 			if s == http.StateNew {
 				c.lastConn.Store(time.Now().UnixNano())
 			}
+			c.conns.note(conn, s)
 		},
 	}
 	ended := make(chan error, 1)
@@ -140,6 +148,7 @@
 		if errors.Is(err, errBigRequest) {
 			status = http.StatusRequestEntityTooLarge
 		}
+		w.Header().Set("Connection", "close") // what else it sends is not waited for
 		http.Error(w, err.Error(), status)
 	}
 }
@@ -170,11 +179,16 @@
 	if method == http.MethodGet {
 		return nil, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if big := (*http.MaxBytesError)(nil); errors.As(err, &big) {
-		return nil, errBigRequest
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
+		return nil, err
 	}
-	return body, err
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return nil, err
+	}
+	// From here on the connection is read only to learn whether the client leaves.
+	return body, control.SetReadDeadline(time.Time{})
 }
 
 // parse reads all of a request but its body. What it lets through is safe to pass to the gateway.
@@ -182,6 +196,11 @@
 	bad := func(what, value string) (ct.Request, *message, time.Duration, error) {
 		return ct.Request{}, nil, 0, fmt.Errorf("%s: %.40q", what, value)
 	}
+	// A Content-Length next to a Transfer-Encoding is dropped unseen by the server (in HTTP/1.0 the latter is), and
+	// whoever goes by the other one finds a second request in the body. Our clients tell lengths and send HTTP/1.1.
+	if len(r.TransferEncoding) > 0 || r.ContentLength < 0 || r.ProtoMajor != 1 || r.ProtoMinor != 1 {
+		return bad("framing", r.Proto+" "+strings.Join(r.TransferEncoding, ", "))
+	}
 	// A header that is there twice could be read in two ways, here and behind us.
 	h := map[string]string{}
 	for _, name := range []string{"Request-Id", "Request-Class", "X-Tier", "X-Api-Key", "Request-Timeout",
--- a/internal/frontdoor/config.go
+++ b/internal/frontdoor/config.go
@@ -22,6 +22,13 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// clientConns is how many connections of clients may be open. They hold a third of the descriptors at most for
+// requests; the rest is room for those that ask now and then.
+func (l Limits) clientConns() int { return max(1, l.Sockets*5/12) }
+
+// backendConns is how many connections to backends may be open, idle ones among them.
+func (l Limits) backendConns() int { return max(1, l.Sockets*5/12) }
+
 // Config is what a front door is told at its start.
 type Config struct {
 	Name      string
--- a/internal/frontdoor/discovery_test.go
+++ b/internal/frontdoor/discovery_test.go
@@ -106,3 +106,50 @@
 		t.Error("a backend that the whole list lacks may still be sent to")
 	}
 }
+
+// After a move the versions of the old discovery mean nothing: the new one's whole list comes first, and then its
+// changes, from its own version on. The same holds where one discovery's versions go back.
+func TestAMoveTakesTheWholeList(t *testing.T) {
+	discovery := func(answer func(r *http.Request) string) (string, chan string) {
+		asked := make(chan string, 10)
+		return serve(t, func(w http.ResponseWriter, r *http.Request) {
+			asked <- r.URL.RequestURI()
+			fmt.Fprintln(w, answer(r))
+			if r.URL.RawQuery != "" {
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+			}
+		}), asked
+	}
+	first, askedFirst := discovery(func(*http.Request) string { return `{"seq":900,"whole":false,"hosts":[]}` })
+	second, askedSecond := discovery(func(r *http.Request) string {
+		if r.URL.RawQuery == "watch=1&from=7" {
+			return `{"seq":2,"whole":false,"hosts":[]}` // it has begun anew
+		}
+		return `{"seq":7,"whole":true,"hosts":[]}`
+	})
+	moves, lists := make(chan string), make(chan EndpointList, 100)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan bool)
+	go func() {
+		Follow(ctx, first, 800, moves, func(l EndpointList) { lists <- l })
+		close(ended)
+	}()
+	if got := <-askedFirst; got != "/v1/endpoints?watch=1&from=800" {
+		t.Errorf("the first was asked for %s", got)
+	}
+	if l := <-lists; l.Seq != 900 {
+		t.Errorf("the first told %+v", l)
+	}
+	moves <- second
+	for i, want := range []string{"/v1/endpoints", "/v1/endpoints?watch=1&from=7", "/v1/endpoints"} {
+		if got := <-askedSecond; got != want {
+			t.Errorf("question %d to the second was %s, want %s", i+1, got, want)
+		}
+	}
+	if l := <-lists; l.Seq != 7 || !l.Whole {
+		t.Errorf("the second told %+v", l)
+	}
+	cancel()
+	<-ended
+}
