Tell spoilt answers from broken connections, and reuse only clean ones

Cause: http.Transport. It also put connections with a second answer behind the first back to use ('Unsolicited response' in the log), and byHost, byID and a Transport stayed for each backend that ever was. Ruled out: descriptors (187 of 384), memory (9 of 64 MB). Mend: pool.go keeps connections by backend, bounded over all, idle ones evicted first; before each use the socket is looked at (MSG_PEEK) and anything on it closes it. Writes are whole or never ran. What cannot be read, is too long or does not end in 0.5 s is Unknown and closes its own connection; only an end before any byte is Broken. Gone backends are forgotten and their connections never pass on. Absurd use and load figures are ignored.

--- a/gateway.go
+++ b/gateway.go
@@ -772,7 +772,7 @@
 		}
 	}
 	switch ev.Result {
-	case AnsweredErr:
+	case AnsweredErr, Unknown: // the backend said something
 		b.owed = 0
 	case Answered:
 		b.owed = 0
--- a/internal/frontdoor/backends.go
+++ b/internal/frontdoor/backends.go
@@ -4,17 +4,16 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +28,10 @@
 	// A kept connection is dropped when it has been idle for this share of the time after which the backend
 	// may close it: a request that crosses the close may have run.
 	idleShare = 0.6
+	// An answer that has begun and does not end within answerTime is a spoilt one: backends write theirs at once.
+	answerTime = 500 * time.Millisecond
+	maxHead    = 16 << 10 // of an answer, 1xx answers ahead of it among it
+	maxUse     = 10_000   // percent; a figure over it is no customer's use
 )
 
 // message is a client's request as it goes on to a backend, with each attempt.
@@ -52,24 +55,22 @@
 
 // backend is one entry of the list of backends. Its fields other than id are guarded by Backends.mu.
 type backend struct {
-	id        ct.BackendID
-	addr      string
-	born      int64
-	state     ct.BackendState
-	transport *http.Transport
+	id    ct.BackendID
+	born  int64
+	state ct.BackendState
+	place *place
 }
 
 // Backends sends attempts to the backends that discovery has named, over kept connections.
 type Backends struct {
-	conns    func() *http.Transport
+	pool     *pool
 	columns  []string // names of load figures as in the header, in the order of the settings
 	reports  bool     // there are load reports, so probes ask for one
-	maxOut   int64    // attempts that may be out, for the limit on sockets
-	out      atomic.Int64
 	faultLog rate.Sometimes
 
-	mu     sync.RWMutex
-	byHost map[string]*backend // a host keeps its id for good
+	mu     sync.Mutex
+	lastID ct.BackendID
+	byHost map[string]*backend // until it is gone and has nothing out
 	byID   map[ct.BackendID]*backend
 }
 
@@ -80,20 +81,9 @@
 // NewBackends knows no backends yet.
 func NewBackends(c Config) *Backends {
 	dialer := &net.Dialer{Timeout: c.Conns.Connect, KeepAlive: -1}
-	b := &Backends{reports: len(c.Settings.LoadColumns) > 0, maxOut: int64(max(1, c.Limits.Sockets/3)),
-		faultLog: rate.Sometimes{First: 10, Interval: time.Second},
-		byHost:   map[string]*backend{}, byID: map[ct.BackendID]*backend{}}
-	b.conns = func() *http.Transport {
-		return &http.Transport{
-			DialContext:            dialer.DialContext,
-			DisableCompression:     true, // bodies go on unchanged
-			MaxIdleConnsPerHost:    max(1, c.Limits.Sockets/64),
-			IdleConnTimeout:        time.Duration(idleShare * float64(c.Conns.Idle)),
-			MaxResponseHeaderBytes: maxBody,
-			ReadBufferSize:         2 << 10,
-			WriteBufferSize:        2 << 10,
-		}
-	}
+	b := &Backends{reports: len(c.Settings.LoadColumns) > 0, faultLog: rate.Sometimes{First: 10, Interval: time.Second},
+		pool:   newPool(dialer.DialContext, c.Limits.backendConns(), time.Duration(idleShare*float64(c.Conns.Idle))),
+		byHost: map[string]*backend{}, byID: map[ct.BackendID]*backend{}}
 	for _, name := range c.Settings.LoadColumns {
 		if short, ok := columnNames[name]; ok {
 			name = short
@@ -116,115 +106,167 @@
 	for _, e := range list.Hosts {
 		be := b.byHost[e.Host]
 		if be == nil {
-			be = &backend{id: ct.BackendID(len(b.byHost) + 1), transport: b.conns()}
+			if states[e.Health] == ct.Gone {
+				continue // never named, or forgotten
+			}
+			b.lastID++
+			be = &backend{id: b.lastID}
 			b.byHost[e.Host], b.byID[be.id] = be, be
 		}
-		if be.addr != e.Dial || be.born != e.BornMS {
-			be.transport.CloseIdleConnections() // they lead to what was there before
+		if be.place == nil || be.place.addr != e.Dial && e.Dial != "" || be.born != e.BornMS {
+			if be.place != nil {
+				b.pool.clear(be.place, true) // its connections lead to what was there before
+			}
+			be.place = &place{addr: e.Dial}
 		}
-		be.addr, be.born, be.state = e.Dial, e.BornMS, states[e.Health]
+		be.born, be.state = e.BornMS, states[e.Health]
 		infos = append(infos, ct.BackendInfo{ID: be.id, State: be.state, Zone: e.Site, Kind: e.Class, Cell: e.Block,
 			Started: c.unixMilli(e.BornMS), Weight: e.Share})
 	}
-	for _, be := range b.byHost {
+	for host, be := range b.byHost {
 		if be.state == ct.Gone {
-			be.transport.CloseIdleConnections()
+			b.pool.clear(be.place, true)
+			delete(b.byHost, host) // if it comes back it is a new one, to the gateway as well
+			delete(b.byID, be.id)
 		}
 	}
 	return infos
 }
 
-// ready gives a backend's address and transport, if it may be sent something now.
-func (b *Backends) ready(id ct.BackendID) (*http.Transport, string, bool) {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	be := b.byID[id]
-	if be == nil || be.state != ct.Ready {
-		return nil, "", false
+// ready gives the place of a backend that may be sent something now, else nil.
+func (b *Backends) ready(id ct.BackendID) *place {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if be := b.byID[id]; be != nil && be.state == ct.Ready {
+		return be.place
 	}
-	return be.transport, be.addr, true
+	return nil
 }
 
-var errBig = errors.New("the answer's body is over 64 KiB")
+// errStale ends an attempt that is no longer wanted where its connection leads.
+var errStale = errors.New("the backend may be sent nothing new")
 
 // send makes one attempt and tells how it ended. It never sends twice.
 func (b *Backends) send(ctx context.Context, id ct.BackendID, m *message) *reply {
 	r := &reply{result: ct.NotSent}
-	transport, addr, ok := b.ready(id)
-	if !ok || ctx.Err() != nil {
+	at := b.ready(id)
+	if at == nil || ctx.Err() != nil {
 		return r
 	}
-	defer b.out.Add(-1)
-	if b.out.Add(1) > b.maxOut {
+	c, err := b.write(ctx, id, at, m)
+	if err != nil {
+		if ctx.Err() == nil && !errors.Is(err, errStale) && !errors.Is(err, errFull) && !errors.Is(err, syscall.EMFILE) {
+			r.result = ct.NoConnection
+		}
+		if context.Cause(ctx) == context.Canceled {
+			r.result = ct.Cancelled
+		}
+		b.fault(at, err)
 		return r
 	}
-	var stale, wrote atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		// A connection may have taken long to come up. What is no longer wanted must not be written, and
-		// closing the connection is how the transport can be kept from it.
-		GotConn: func(info httptrace.GotConnInfo) {
-			if _, _, ok := b.ready(id); !ok || ctx.Err() != nil {
-				stale.Store(true)
-				info.Conn.Close()
-			}
-		},
-		// Told when the request stands in the transport's buffer, just before the last byte is written: from
-		// then on it may have run.
-		WroteRequest: func(info httptrace.WroteRequestInfo) { wrote.Store(info.Err == nil) },
-	})
-	req := m.request(ctx, addr)
-	res, err := transport.RoundTrip(req)
-	if err == nil {
-		err = b.read(res, r)
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	keep, err := b.read(ctx, c, m, r)
+	if stop() && err == nil && keep {
+		b.pool.put(c)
+	} else {
+		b.pool.drop(c)
 	}
 	switch {
 	case err == nil:
 		return r
-	case stale.Load():
-		r.result = ct.NotSent
 	case context.Cause(ctx) == context.Canceled:
 		r.result = ct.Cancelled
-	case ctx.Err() != nil && wrote.Load():
-		r.result = ct.TimedOut
 	case ctx.Err() != nil:
-		r.result = ct.NotSent
-	case wrote.Load() || res != nil:
+		r.result = ct.TimedOut
+	case errors.Is(err, errEnded):
 		r.result = ct.Broken
-	case errors.Is(err, syscall.EMFILE): // the shortage is ours, and no fault of the backend
-		r.result = ct.NotSent
-	default:
-		r.result = ct.NoConnection
-	}
-	if r.result == ct.Broken {
-		transport.CloseIdleConnections() // whatever ended this one has most likely ended them too
-	}
-	if r.result == ct.Broken || r.result == ct.NoConnection || errors.Is(err, syscall.EMFILE) {
-		b.faultLog.Do(func() { slog.Warn("an attempt broke", "backend", addr, "err", err) })
+		b.pool.clear(at, false) // whatever ended this one has most likely ended the idle ones too
+	default: // spoilt: the backend is as well as before, and the request may have run
+		r.result = ct.Unknown
 	}
+	b.fault(at, err)
 	return r
 }
 
-// request builds one attempt's. Its body is never one that the transport knows how to send again: else it
-// would do so by itself on a kept connection that turns out dead, and the copy is an attempt nobody decided on.
-func (m *message) request(ctx context.Context, addr string) *http.Request {
+func (b *Backends) fault(at *place, err error) {
+	b.faultLog.Do(func() { slog.Warn("an attempt broke", "backend", at.addr, "err", err) })
+}
+
+// write sends a request whole. An error means that its last byte was not written, so it has never run. A kept
+// connection that turns out to be dead before then is made up for by a new one.
+func (b *Backends) write(ctx context.Context, id ct.BackendID, at *place, m *message) (*kept, error) {
+	for fresh := false; ; fresh = true {
+		c, err := b.pool.get(ctx, at, fresh)
+		if err != nil {
+			return nil, err
+		}
+		// A connection may have taken long to come up.
+		if b.ready(id) != at || ctx.Err() != nil {
+			b.pool.drop(c)
+			return nil, errStale
+		}
+		text, err := m.encode(ctx)
+		if err == nil {
+			due, _ := ctx.Deadline()
+			c.SetDeadline(due)
+			_, err = c.Write(text)
+		}
+		if err == nil {
+			c.SetDeadline(time.Time{}) // from here on the context's end alone ends the wait
+			return c, nil
+		}
+		b.pool.drop(c)
+		if !c.used || ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
+// encode gives one attempt's request as it stands on the wire.
+func (m *message) encode(ctx context.Context) ([]byte, error) {
 	header := m.header.Clone()
 	if due, ok := ctx.Deadline(); ok {
 		header["Request-Timeout"] = []string{strconv.FormatFloat(time.Until(due).Seconds(), 'f', 3, 64)}
 	}
-	req := &http.Request{Method: m.method, URL: &url.URL{Scheme: "http", Host: addr, Opaque: m.target}, Host: m.host,
-		Header: header, ContentLength: int64(len(m.body)), Body: io.NopCloser(bytes.NewReader(m.body))}
-	return req.WithContext(ctx)
+	req := &http.Request{Method: m.method, URL: &url.URL{Scheme: "http", Host: m.host, Opaque: m.target}, Host: m.host,
+		Header: header, ContentLength: int64(len(m.body)), Body: http.NoBody}
+	if len(m.body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(m.body))
+	}
+	var text bytes.Buffer
+	text.Grow(512 + len(m.body))
+	err := req.Write(&text)
+	return text.Bytes(), err
 }
 
-// read takes in a whole answer. An error means that there was none.
-func (b *Backends) read(res *http.Response, r *reply) error {
-	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBody+1))
-	if err == nil && len(body) > maxBody {
-		err = errBig
+var (
+	errEnded  = errors.New("the connection ended before an answer")
+	errLength = errors.New("the answer does not tell its length")
+	errSwitch = errors.New("the answer switches protocols")
+)
+
+// read takes in a whole answer, and tells whether the backend leaves the connection open. An error means that
+// there was no answer that can be used.
+func (b *Backends) read(ctx context.Context, c *kept, m *message, r *reply) (keep bool, err error) {
+	c.bound.left = maxHead
+	if _, err := c.r.Peek(1); err != nil {
+		return false, fmt.Errorf("%w: %w", errEnded, err)
+	}
+	// The context's end may have set a deadline already, which this must not undo.
+	c.SetReadDeadline(time.Now().Add(answerTime))
+	if err := ctx.Err(); err != nil {
+		return false, err
+	}
+	res, err := http.ReadResponse(c.r, &http.Request{Method: m.method})
+	for err == nil && res.StatusCode < 200 && res.StatusCode != http.StatusSwitchingProtocols {
+		res, err = http.ReadResponse(c.r, &http.Request{Method: m.method})
 	}
 	if err != nil {
-		return err
+		return false, err
+	}
+	body, err := readAnswer(c, res)
+	if err != nil {
+		return false, err
 	}
 	switch {
 	case res.StatusCode == http.StatusOK:
@@ -235,13 +277,33 @@
 	default:
 		r.result = ct.AnsweredErr // it may have run
 	}
-	if used := res.Header.Get("X-RateLimit-Used"); used != "" {
-		if v, err := strconv.ParseFloat(used, 64); err == nil && v >= 0 && !math.IsInf(v, 0) {
-			r.hasUse, r.use = true, v
-		}
+	if v, err := strconv.ParseFloat(res.Header.Get("X-RateLimit-Used"), 64); err == nil && v >= 0 && v <= maxUse {
+		r.hasUse, r.use = true, v
 	}
 	r.load = b.parseLoad(res.Header.Get("Server-Load"))
-	return nil
+	return !res.Close, nil
+}
+
+// readAnswer reads an answer's body. One that only the connection's end would end can't be told from a cut one.
+func readAnswer(c *kept, res *http.Response) ([]byte, error) {
+	c.bound.left = 2 * maxBody // chunks take more room than what is in them
+	switch {
+	case res.StatusCode == http.StatusSwitchingProtocols:
+		return nil, errSwitch
+	case res.ContentLength > maxBody:
+		return nil, errBig
+	case res.ContentLength >= 0:
+		body := make([]byte, res.ContentLength)
+		_, err := io.ReadFull(res.Body, body)
+		return body, err
+	case len(res.TransferEncoding) == 0:
+		return nil, errLength
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxBody+1))
+	if err == nil && len(body) > maxBody {
+		err = errBig
+	}
+	return body, err
 }
 
 // parseLoad reads a load report such as "queue=2,qps=31"; nil if it does not hold all that the settings name.
@@ -256,7 +318,7 @@
 		for i, column := range b.columns {
 			if name == column {
 				v, err := strconv.ParseFloat(value, 64)
-				if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+				if err != nil || !(v >= 0) || math.IsInf(v, 0) {
 					return nil
 				}
 				load[i] = v
