Take a reset for a reset, not for a restart

Cause: gateway.go learn(): one Broken or NoConnection made a backend cold and held it for 1 s. Ruled out: descriptors (47 of 384), CPU (under 0.1 s a second), real restarts (the list tells none before 19 s).

--- a/gateway.go
+++ b/gateway.go
@@ -67,6 +67,7 @@
 	tokens    float64 // sends allowed while cold, as of tokensAt
 	tokensAt  time.Duration
 	badAt     time.Duration // its last bad outcome
+	unreached int           // failed connections since the last answer
 }
 
 type attempt struct {
@@ -655,19 +656,6 @@
 	return b.tokens >= 1
 }
 
-// owes brings up to now how many mean answers the backend owes since its last one: whatever makes it go
-// silent (hang, pause, lost network) shows without a time-out. A few long requests can raise it wrongly, so
-// it only raises the cost; with nothing out it fades by one a second, until the backend is tried again.
-func (g *Gateway) owes(b *backend) float64 {
-	dt := (g.now - b.owedAt).Seconds()
-	b.owedAt = g.now
-	if b.out == 0 {
-		b.owed = max(0, b.owed-dt)
-	}
-	b.owed += float64(b.out) * dt / (g.meanLat * max(1, b.slow))
-	return b.owed
-}
-
 // known is how many backends this door keeps to: of a few that it hears from every few seconds it learns
 // which are slow or silent, of a hundred it would not. As each door has its own order of them, all are used
 // alike.
@@ -775,7 +763,7 @@
 	case AnsweredErr, Unknown: // the backend said something
 		b.owed = 0
 	case Answered:
-		b.owed = 0
+		b.owed, b.unreached = 0, 0
 		g.aims += r.class.late()
 		r.class.lat += gain * (took - r.class.lat)
 		r.class.base = min(r.class.lat, r.class.base*(1+gain*gain/4))
@@ -786,9 +774,8 @@
 		b.slow += 2 * gain * max(0, took/r.class.lat-b.slow)
 	case Refused:
 		b.owed, b.holdUntil = 0, g.now+seconds(g.meanLat/2)
-	case NoConnection, Broken: // its process may have restarted: by the list's next word it may be cold
-		b.cold, b.coldSince, b.tokens = true, g.now, 0
-		b.holdUntil = g.now + second
+	case NoConnection:
+		g.noConnection(b)
 	}
 	b.slow = max(b.slow, 0.1)
 }
--- a/internal/frontdoor/backends.go
+++ b/internal/frontdoor/backends.go
@@ -115,7 +115,7 @@
 		}
 		if be.place == nil || be.place.addr != e.Dial && e.Dial != "" || be.born != e.BornMS {
 			if be.place != nil {
-				b.pool.clear(be.place, true) // its connections lead to what was there before
+				b.pool.clear(be.place) // its connections lead to what was there before
 			}
 			be.place = &place{addr: e.Dial}
 		}
@@ -125,7 +125,7 @@
 	}
 	for host, be := range b.byHost {
 		if be.state == ct.Gone {
-			b.pool.clear(be.place, true)
+			b.pool.clear(be.place)
 			delete(b.byHost, host) // if it comes back it is a new one, to the gateway as well
 			delete(b.byID, be.id)
 		}
@@ -176,11 +176,12 @@
 		return r
 	case context.Cause(ctx) == context.Canceled:
 		r.result = ct.Cancelled
+		return r
 	case ctx.Err() != nil:
 		r.result = ct.TimedOut
+		return r
 	case errors.Is(err, errEnded):
 		r.result = ct.Broken
-		b.pool.clear(at, false) // whatever ended this one has most likely ended the idle ones too
 	default: // spoilt: the backend is as well as before, and the request may have run
 		r.result = ct.Unknown
 	}
--- a/internal/frontdoor/pool.go
+++ b/internal/frontdoor/pool.go
@@ -125,11 +125,11 @@
 	p.discard(c)
 }
 
-// clear closes a place's idle connections. With end, those in use are closed as well when they come back.
-func (p *pool) clear(at *place, end bool) {
+// clear ends a place: its idle connections now, those in use when they come back.
+func (p *pool) clear(at *place) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	at.closed = at.closed || end
+	at.closed = true
 	for len(at.idle) > 0 {
 		c := at.idle[len(at.idle)-1]
 		p.unkeep(c)
