--- a/gateway.go
+++ b/gateway.go
@@ -31,7 +31,7 @@
 	readingAge = 2          // meter periods from the end of a period until its reading is counted here
 	margin     = 1.0 / 8    // share of the burst that the projection must leave: other doors are unseen
 	gain       = 1.0 / 16   // weight of one answer in the running means of latency
-	priorUse   = 150        // percent of its rate that a customer is taken to use before anything tells
+	priorUse   = 40         // percent of its rate that a customer is taken to use before anything tells
 	mostDraws  = 64         // own sends kept for a customer between readings, so memory stays bounded
 	shareDecay = 0.9        // how fast the customer's share at this door is relearnt, a reading
 	quietFor   = 2.0        // answers that a backend may owe, in mean answers, before it costs more to choose
