--- a/internal/frontdoor/backends.go
+++ b/internal/frontdoor/backends.go
@@ -70,7 +70,7 @@
 
 	mu     sync.Mutex
 	lastID ct.BackendID
-	byHost map[string]*backend // until it is gone and has nothing out
+	byHost map[string]*backend // until it is gone
 	byID   map[ct.BackendID]*backend
 }
 
--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -59,7 +59,8 @@
 // NewClients serves clients from a loop.
 func NewClients(config Config, loop *Loop) *Clients {
 	settings := config.Settings
-	c := &Clients{loop: loop, settings: settings, conns: newConnTable(config.Limits.clientConns()), classes: map[string]ct.Class{}, plans: map[string]bool{},
+	c := &Clients{loop: loop, settings: settings, conns: newConnTable(config.Limits.clientConns()),
+		classes: map[string]ct.Class{}, plans: map[string]bool{},
 		badLog: rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second}}
 	for _, class := range settings.Classes {
 		c.classes[class.Name] = class
--- a/internal/frontdoor/config.go
+++ b/internal/frontdoor/config.go
@@ -1,7 +1,8 @@
 // Package frontdoor puts one gateway of package cypresstrack on real sockets: it takes clients' requests over
 // HTTP, carries out the gateway's decisions towards the backends and follows discovery. It decides nothing
 // itself. config.go reads the configuration, loop.go owns the gateway, clients.go and backends.go are the two
-// sides of a request, discovery.go keeps the list of backends up to date.
+// sides of a request, conns.go bounds the connections of clients and pool.go those to backends, discovery.go keeps
+// the list of backends up to date.
 package frontdoor
 
 import (
