Make an attempt that waits out of all proportion once more elsewhere

Cause: an attempt on a connection that fell silent, or whose answer never comes, was out until its client's time was up, 100 times as long as an answer takes. A handful of them was half of N, which is what a second's answers carry (some 10); and each made its backend count as silent, as owed grows while anything is out (health.go owes, gateway.go choose), so the rest crowded at the one or two backends without one. Mend: first attempts older than 10 mean latencies of their class are called off and made once more elsewhere, in the same slot, where effect and group allow it, at most 1 in 32 sends and once for a request; a backend so struck is tried again soon, and later each time if it stays silent. The loopback test fails without the change. Conclusion: dead attempts were the cause, by way of N and the choice.

--- a/gateway.go
+++ b/gateway.go
@@ -48,7 +48,8 @@
 
 type class struct {
 	Class
-	lat, base float64 // running mean latency of answers, seconds; its slowly forgotten low mark
+	lat, base float64    // running mean latency of answers, seconds; its slowly forgotten low mark
+	first     []*request // sent once, in order; some have ended
 }
 
 // late is the age from which an attempt counts as timed out for N.
@@ -68,6 +69,7 @@
 	tokensAt  time.Duration
 	badAt     time.Duration // its last bad outcome
 	unreached int           // failed connections since the last answer
+	strikes   int           // attempts called off since the last answer
 }
 
 type attempt struct {
@@ -76,6 +78,7 @@
 	sent   time.Duration
 	open   bool
 	told   bool // counted as late while still out
+	off    bool // called off, to be made elsewhere
 	result Result
 }
 
@@ -126,6 +129,7 @@
 type Gateway struct {
 	set       Settings
 	classes   map[string]*class
+	byClass   []*class // in the order of the settings
 	plans     map[string]*Plan
 	rng       *rand.Rand
 	now, boot time.Duration
@@ -155,6 +159,7 @@
 	ended, bads      float64 // attempts ended, and badly, fading
 	aims, flow       float64 // sum of the aims of a second's answers; its mean
 	sends, sendRate  float64 // of this second; a second, on average
+	spare            float64 // attempts that may be called off
 }
 
 // New starts a gateway. It knows no backends until the first BackendList.
@@ -167,7 +172,8 @@
 		requests: map[RequestID]*request{}, bySeq: map[uint64]*request{},
 		customers: map[CustomerID]*customer{}, n: math.Inf(1), splitAt: now, sendRate: minEnded}
 	for _, c := range set.Classes {
-		g.classes[c.Name] = &class{Class: c, lat: c.Aim.Seconds() / 4, base: c.Aim.Seconds() / 4}
+		cl := &class{Class: c, lat: c.Aim.Seconds() / 4, base: c.Aim.Seconds() / 4}
+		g.classes[c.Name], g.byClass = cl, append(g.byClass, cl)
 		g.meanLat += c.Aim.Seconds() / 4 / float64(len(set.Classes))
 	}
 	for i := range set.Plans {
@@ -203,6 +209,7 @@
 	case Timer:
 		g.onTimer(ev.Token)
 	}
+	g.callOff()
 	actions, g.acts = g.acts, nil
 	return actions
 }
@@ -252,6 +259,7 @@
 		c.draws = append(c.draws, draw{g.now, 100 * ev.Units / plan.Rate})
 	}
 	g.send(r, b, s)
+	cl.first = append(cl.first, r)
 	g.act(SetTimer{After: ev.Patience, Token: r.seq})
 }
 
@@ -715,6 +723,7 @@
 	b.out++
 	b.tokens--
 	g.sends++
+	g.spare = min(mostSpare, g.spare+spareShare)
 	r.cust.open++
 	g.act(Send{Request: r.id, Backend: b.ID})
 }
@@ -763,7 +772,7 @@
 	case AnsweredErr, Unknown: // the backend said something
 		b.owed = 0
 	case Answered:
-		b.owed, b.unreached = 0, 0
+		b.owed, b.unreached, b.strikes = 0, 0, 0
 		g.aims += r.class.late()
 		r.class.lat += gain * (took - r.class.lat)
 		r.class.base = min(r.class.lat, r.class.base*(1+gain*gain/4))
@@ -771,6 +780,10 @@
 		g.bestLat = min(g.meanLat, g.bestLat*(1+gain*gain/4))
 		b.slow += 2 * gain * (took/r.class.lat - b.slow)
 	case TimedOut, Cancelled: // it would have taken at least this long
+		if t.off {
+			g.strike(b)
+			break
+		}
 		b.slow += 2 * gain * max(0, took/r.class.lat-b.slow)
 	case Refused:
 		b.owed, b.holdUntil = 0, g.now+seconds(g.meanLat/2)
--- a/health.go
+++ b/health.go
@@ -8,6 +8,11 @@
 	firstHold   = 125 * time.Millisecond
 	longestHold = second
 	downAfter   = 3 // failed connections in a row
+
+	deadAfter  = 10.0     // mean latencies of its class after which a first attempt is given up, if another can be made
+	spareShare = 1.0 / 32 // of the sends may be called off
+	mostSpare  = 8.0      // ... and so many at once
+	mostStrike = 8.0      // mean answers, over those that are free, that a backend owes at most after a strike
 )
 
 // noConnection holds sends to a backend that could not be reached, for longer each time in a row. Only where that
@@ -33,3 +38,38 @@
 	b.owed += float64(b.out) * dt / (g.meanLat * max(1, b.slow))
 	return b.owed
 }
+
+// callOff ends first attempts that have waited out of all proportion, so that they are made once more elsewhere, in
+// the same slot. A connection that has gone silent, or a backend that hangs, would else hold the slot until the client
+// gives up, a hundred times as long as an answer takes; a few of them are all of a small N. In a jam many wait as
+// long, and what is called off there is work done twice, so a small share of the sends bounds it and no request is
+// called off again: it can do harm where more than that share is slow by nature, up to that share. Each class's
+// attempts are looked at in the order of their sends.
+func (g *Gateway) callOff() {
+	if !g.set.CanCancel {
+		return
+	}
+	for _, cl := range g.byClass {
+		for len(cl.first) > 0 {
+			r := cl.first[0]
+			t := &r.tries[0]
+			waits := !r.ended && !r.streamed && len(r.tries) == 1 && t.open
+			if waits && (g.now-t.sent).Seconds() < deadAfter*cl.lat {
+				break
+			}
+			cl.first = cl.first[1:]
+			if waits && g.spare >= 1 && (r.due-g.now).Seconds() > 2*cl.lat && g.choose(r) != nil {
+				g.spare--
+				t.off = true
+				g.act(Cancel{Request: r.id})
+			}
+		}
+	}
+}
+
+// strike makes a backend dearer after an attempt there was called off. One may be its connection's fault, so the
+// backend is soon tried again; if no answer comes in between, it is left alone for twice as long each time.
+func (g *Gateway) strike(b *backend) {
+	b.owed = min(b.owed, quietFor+min(mostStrike, float64(int(1)<<min(b.strikes, 8))))
+	b.strikes++
+}
--- a/health_test.go
+++ b/health_test.go
@@ -24,3 +24,129 @@
 		r.now = b.holdUntil
 	}
 }
+
+// quick is a gateway of n backends, in one cell, that has learnt that answers take 100 ms and may call all off that it
+// likes, with one attempt of the class out.
+func quick(t *testing.T, n int, class string) (r *rig, id RequestID, b BackendID) {
+	t.Helper()
+	backends := fleet(n)
+	for i := range backends {
+		backends[i].Cell = 0
+	}
+	r = newRig(t, testSettings(), backends...)
+	for _, cl := range r.g.byClass {
+		cl.lat, cl.base = 0.1, 0.1
+	}
+	r.g.meanLat, r.g.bestLat, r.g.spare = 0.1, 0.1, mostSpare
+	id, as := r.ask(class, "wide", 1)
+	return r, id, sends(as)[0].Backend
+}
+
+// wait lets the time pass after which a first attempt may be called off, and gives what the next event leads to.
+func (r *rig) wait() []Action {
+	r.now += seconds(deadAfter*0.1) + ms
+	return r.do(ProbeResult{})
+}
+
+func cancels(as []Action) (out []Cancel) {
+	for _, a := range as {
+		if c, ok := a.(Cancel); ok {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// An attempt that waits out of all proportion is made once more elsewhere, in the same slot, if that is allowed, and
+// only once: what has waited for the second attempt as long may be slow by nature.
+func TestAttemptsThatWaitTooLongAreMadeElsewhereOnce(t *testing.T) {
+	for _, c := range []struct {
+		name, class string
+		change      func(*rig)
+		want        int
+	}{
+		{"safe", "safe", func(*rig) {}, 1},
+		{"keyed, in its cell", "celled", func(*rig) {}, 1},
+		{"unsafe", "once", func(*rig) {}, 0},
+		{"keyed, alone in its cell", "celled", func(r *rig) {
+			for i, b := range r.g.order {
+				b.Cell = i
+			}
+		}, 0},
+		{"no share left", "safe", func(r *rig) { r.g.spare = 0.9 }, 0},
+		{"no cancels", "safe", func(r *rig) { r.g.set.CanCancel = false }, 0},
+		{"the client gives up soon", "safe", func(r *rig) {
+			for _, q := range r.g.requests {
+				q.due = r.now + seconds(deadAfter*0.1) + 150*ms
+			}
+		}, 0},
+	} {
+		r, id, b := quick(t, 3, c.class)
+		c.change(r)
+		if as := r.do(ProbeResult{}); len(as) != 0 {
+			t.Errorf("%s: at once: %+v", c.name, as)
+		}
+		off := cancels(r.wait())
+		if len(off) != c.want {
+			t.Errorf("%s: %d attempts called off, want %d", c.name, len(off), c.want)
+		}
+		if len(off) == 0 {
+			continue
+		}
+		again := sends(r.do(Outcome{Request: id, Backend: b, Result: Cancelled, Took: second}))
+		if len(again) != 1 || again[0].Backend == b || held(r.g) != 1 {
+			t.Fatalf("%s: then %+v with %d slots held, want one more attempt elsewhere, in one slot", c.name, again, held(r.g))
+		}
+		if off := cancels(r.wait()); len(off) != 0 {
+			t.Errorf("%s: called off again", c.name)
+		}
+		r.outcome(id, again[0].Backend, 1, Answered)
+		if held(r.g) != 0 || len(r.g.requests) != 0 {
+			t.Errorf("%s: %d slots and %d requests are left", c.name, held(r.g), len(r.g.requests))
+		}
+	}
+}
+
+// In a jam everything waits. What is called off then is work done twice, so it stays a small share of the sends.
+func TestFewAttemptsAreCalledOffInAJam(t *testing.T) {
+	r, _, _ := quick(t, 40, "safe")
+	const more = 320
+	for range more {
+		r.ask("safe", "wide", 1)
+	}
+	if n, most := len(cancels(r.wait())), int(mostSpare); n > most || n == 0 {
+		t.Errorf("%d of %d attempts called off at once, want some, and %d at most", n, more, most)
+	}
+}
+
+// One silent connection says little of its backend. A backend that leaves one attempt after another unanswered is
+// left alone for longer each time, and an answer clears it.
+func TestBackendsAreStruckHarderEachTime(t *testing.T) {
+	r, id, at := quick(t, 2, "safe")
+	b := r.g.backends[at]
+	slow := b.slow
+	last := quietFor
+	for n := range 3 {
+		r.wait()
+		r.do(Outcome{Request: id, Backend: at, Result: Cancelled, Took: second})
+		if b.owed <= last || b.slow != slow {
+			t.Errorf("after %d strikes: owes %v, not over %v, or slowness %v is not %v", n+1, b.owed, last, b.slow, slow)
+		}
+		last = b.owed
+		for _, o := range r.g.order { // the rest is shut, so that the next attempt goes there as well
+			o.holdUntil = r.now
+			if o != b {
+				o.holdUntil = r.now + second
+			}
+		}
+		next, as := r.ask("safe", "wide", 1)
+		if len(sends(as)) != 1 || sends(as)[0].Backend != at {
+			t.Fatalf("the next attempt: %+v, want it at backend %d", as, at)
+		}
+		id = next
+	}
+	r.outcome(id, at, 0, Answered)
+	if b.strikes != 0 || b.owed != 0 {
+		t.Errorf("after an answer: %d strikes, owes %v", b.strikes, b.owed)
+	}
+}
--- a/internal/frontdoor/backends_test.go
+++ b/internal/frontdoor/backends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -405,3 +406,66 @@
 		t.Errorf("kept: %d hosts, %d ids, %d connections", len(b.byHost), len(b.byID), b.pool.open)
 	}
 }
+
+// A connection that has gone silent takes a request and never answers, while its backend serves all others at once.
+// The request must be served by another backend long before its client gives up, the silent connection closed, and
+// what is keyed must not leave the cell that drops its repeats.
+func TestARequestOnASilentConnectionIsServedElsewhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		class  string
+		block  int // of the second backend; the first one's is 0
+		served bool
+	}{
+		"safe":                  {"look", 1, true},
+		"keyed, in the cell":    {"pay", 0, true},
+		"keyed, no other there": {"pay", 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var silent atomic.Bool
+			var asked atomic.Int64 // attempts since then
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				if silent.Load() && asked.Add(1) == 1 {
+					<-r.Context().Done()
+					return
+				}
+				io.WriteString(w, "ok")
+			}
+			list := ready(serve(t, handler), serve(t, handler))
+			list.Hosts[1].Block = c.block
+			d := startDoor(t, nil)
+			d.loop.Update(list)
+			ask := func(id int, timeout string) (*http.Response, string) {
+				return do(t, d.ask(t, c.class, func(r *http.Request) {
+					r.Header.Set("Request-Id", fmt.Sprintf("%016x", id))
+					r.Header.Set("Request-Timeout", timeout)
+				}))
+			}
+			for id := range 200 { // so that the gateway knows how long an answer takes
+				if res, _ := ask(id, "20.5"); res.StatusCode != http.StatusOK {
+					t.Fatalf("an ordinary request was answered %d", res.StatusCode)
+				}
+			}
+			silent.Store(true)
+			timeout := "3600" // cut to the class's deadline, which is longer than the test's patience
+			if !c.served {
+				timeout = "3"
+			}
+			res, body := ask(1000, timeout)
+			if got := res.StatusCode == http.StatusOK && body == "ok"; got != c.served {
+				t.Errorf("answered %d %q, served: want %v", res.StatusCode, body, c.served)
+			}
+			if want := int64(1 + b2i(c.served)); asked.Load() != want {
+				t.Errorf("%d attempts were made, want %d", asked.Load(), want)
+			}
+		})
+	}
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
