Press N only by more than chance, and forgive idle backends in seconds

(2) After a dead attempt that could not be called off, a backend owed 50 to 90 answers, fading by one a second, and stood at 5 to 9 times its slowness, which nothing taught anew, as it was never chosen: by 21 s a door used 1 to 3 of its 9 backends, which then answered late (mean 30 -> 200 ms). (3) 4 in 100 attempts waited past ten means, more than the 1 in 32 that may be called off (1 to 5 a second left undone). Mends: what presses N lies three standard deviations over 5 in 100; what an idle backend owes, and its slowness, fade over 1 and 2 s; an attempt that was called off or timed out raises slowness to ten at most; 1 in 16 sends may be called off.

--- a/gateway.go
+++ b/gateway.go
@@ -25,6 +25,7 @@
 	lateAt     = 0.5         // an attempt older than this share of its class's aim counts as timed out for N
 	lateBase   = 6.0         // ... or older than this multiple of its class's latency at its best
 	minEnded   = 20          // attempts that 5 in 100 is counted over at least
+	byChance   = 3.0         // standard deviations over 5 in 100 that a second's bad outcomes reach by chance
 	slowest    = 1.0 / 4     // least weight of a second in N's means: the noise of one of 300 doors evens out
 	fewSlots   = 8.0         // a part of fewer slots is held on average, over that many mean services
 
@@ -34,7 +35,6 @@
 	priorUse   = 40         // percent of its rate that a customer is taken to use before anything tells
 	mostDraws  = 64         // own sends kept for a customer between readings, so memory stays bounded
 	shareDecay = 0.9        // how fast the customer's share at this door is relearnt, a reading
-	quietFor   = 2.0        // answers that a backend may owe, in mean answers, before it costs more to choose
 	knownFor   = 4 * second // a door keeps to as many backends as it sends requests in this time
 	knownLeast = 4.0        // ... and to this many at least
 )
@@ -429,7 +429,9 @@
 // business. N stays between half of what a second's answers can carry without being late, as cuts come late
 // and go on after a jam, and all of it: by Little's law what is beyond must be late. At many doors a second
 // holds an attempt or two: means fade over seconds, N is a fraction where that is a door's part, mostly bad
-// presses however few they are, and N grows only if something has ended since its cut.
+// presses however few they are, and N grows only if something has ended since its cut. Of a second's few dozen
+// outcomes more than 5 in 100 are often bad by chance, and N takes many seconds to grow back from a cut: what
+// presses must lie byChance over it. Against a jam, in which most are bad, that costs at most a second.
 func (g *Gateway) adjustN() {
 	weight := max(slowest, min(0.5, g.sendRate/minEnded))
 	sick, ready := 0, 0
@@ -450,7 +452,8 @@
 	g.aims = 0
 	floor := max(float64(max(1, ready))/float64(g.set.FrontDoors), g.flow/2)
 	spread := float64(sick) > min(g.bads/2, float64(ready)/3)
-	pressed := spread && g.bads > min(badShare*max(g.ended, minEnded), g.ended/2)
+	usual := badShare * max(g.ended, minEnded)
+	pressed := spread && g.bads > min(usual+byChance*math.Sqrt(usual), g.ended/2)
 	told := g.ended > 0
 	g.ended, g.bads = g.ended*(1-2*weight), g.bads*(1-2*weight)
 	g.average()
@@ -637,15 +640,6 @@
 	})
 }
 
-// warmth is the least share of its capacity that the backend has by now.
-func (g *Gateway) warmth(b *backend) float64 {
-	age := float64(g.now - b.coldSince)
-	if b.cold = b.cold && age < float64(g.set.WarmWithin); !b.cold {
-		return 1
-	}
-	return min(1, g.set.ColdFrom+(1-g.set.ColdFrom)*max(0, age)/float64(g.set.WarmWithin))
-}
-
 // coldToken keeps the sends to a cold backend to its warmth's part of what a warm one is sent, and lets one a
 // second through from all doors where nothing is sent. If every door does so, together they stay within its
 // present capacity, with the fall multiple as the margin. At most one send is saved up: none bursts in.
@@ -779,12 +773,12 @@
 		g.meanLat += gain * (took - g.meanLat)
 		g.bestLat = min(g.meanLat, g.bestLat*(1+gain*gain/4))
 		b.slow += 2 * gain * (took/r.class.lat - b.slow)
-	case TimedOut, Cancelled: // it would have taken at least this long
+	case TimedOut, Cancelled: // it would have taken as long, unless it was dead
 		if t.off {
 			g.strike(b)
 			break
 		}
-		b.slow += 2 * gain * max(0, took/r.class.lat-b.slow)
+		b.slow += 2 * gain * max(0, min(took/r.class.lat, deadAfter)-b.slow)
 	case Refused:
 		b.owed, b.holdUntil = 0, g.now+seconds(g.meanLat/2)
 	case NoConnection:
--- a/health.go
+++ b/health.go
@@ -1,6 +1,9 @@
 package cypresstrack
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // What a door notices of its backends before the list tells.
 
@@ -9,10 +12,13 @@
 	longestHold = second
 	downAfter   = 3 // failed connections in a row
 
+	quietFor   = 2.0      // answers that a backend may owe, in mean answers, before it costs more to choose
 	deadAfter  = 10.0     // mean latencies of its class after which a first attempt is given up, if another can be made
-	spareShare = 1.0 / 32 // of the sends may be called off
+	spareShare = 1.0 / 16 // of the sends may be called off
 	mostSpare  = 8.0      // ... and so many at once
 	mostStrike = 8.0      // mean answers, over those that are free, that a backend owes at most after a strike
+	owedFades  = 1.0      // seconds in which what an idle backend owes fades to 1/e
+	slowFades  = 2.0      // ... and its slowness over the mean
 )
 
 // noConnection holds sends to a backend that could not be reached, for longer each time in a row. Only where that
@@ -26,14 +32,27 @@
 	}
 }
 
-// owes brings up to now how many mean answers the backend owes since its last one: whatever makes it go
-// silent (hang, pause, lost network) shows without a time-out. A few long requests can raise it wrongly, so
-// it only raises the cost; with nothing out it fades by one a second, until the backend is tried again.
+// warmth is the least share of its capacity that the backend has by now.
+func (g *Gateway) warmth(b *backend) float64 {
+	age := float64(g.now - b.coldSince)
+	if b.cold = b.cold && age < float64(g.set.WarmWithin); !b.cold {
+		return 1
+	}
+	return min(1, g.set.ColdFrom+(1-g.set.ColdFrom)*max(0, age)/float64(g.set.WarmWithin))
+}
+
+// owes brings up to now how many mean answers the backend owes since its last one: whatever makes it go silent (hang,
+// pause, lost network) shows without a time-out. A few long requests, or one on a dead connection, can raise it
+// wrongly, so it only raises the cost. With nothing out that fades, and so does slowness: only a further attempt tells
+// whether they still hold, and the higher they stand the less is known. Else every backend is shunned in turn for a
+// minute after one dead attempt, and the rest, crowded, answer late. It costs an attempt every few seconds at a
+// backend that goes on being silent; callOff makes that up.
 func (g *Gateway) owes(b *backend) float64 {
 	dt := (g.now - b.owedAt).Seconds()
 	b.owedAt = g.now
 	if b.out == 0 {
-		b.owed = max(0, b.owed-dt)
+		b.owed *= math.Exp(-dt / owedFades)
+		b.slow -= max(0, b.slow-1) * (1 - math.Exp(-dt/slowFades))
 	}
 	b.owed += float64(b.out) * dt / (g.meanLat * max(1, b.slow))
 	return b.owed
--- a/internal/frontdoor/backends_test.go
+++ b/internal/frontdoor/backends_test.go
@@ -463,6 +463,58 @@
 	}
 }
 
+// A backend that left one attempt unanswered for long, and that may well be the connection's fault, must be tried again
+// within seconds: it would else be shunned for as long as the silence was long against an ordinary answer.
+func TestABackendThatWasSilentIsTriedAgain(t *testing.T) {
+	t.Parallel()
+	var hung atomic.Int64 // which backend keeps silent, from 1
+	var tried atomic.Int64
+	handler := func(me int64) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			if hung.Load() == -1 {
+				hung.Store(me)
+				<-r.Context().Done()
+				return
+			}
+			if hung.Load() == me {
+				tried.Add(1)
+			}
+			io.WriteString(w, "ok")
+		}
+	}
+	list := ready(serve(t, handler(1)), serve(t, handler(2)))
+	list.Hosts[1].Block = 1 // so that a keyed attempt can't be made elsewhere
+	d := startDoor(t, nil)
+	d.loop.Update(list)
+	ask := func(id int, timeout string) int {
+		res, _ := do(t, d.ask(t, "pay", func(r *http.Request) {
+			r.Header.Set("Request-Id", fmt.Sprintf("%016x", id))
+			r.Header.Set("Request-Timeout", timeout)
+		}))
+		return res.StatusCode
+	}
+	id := 0
+	for ; id < 200; id++ {
+		if status := ask(id, "20.5"); status != http.StatusOK {
+			t.Fatalf("an ordinary request was answered %d", status)
+		}
+	}
+	hung.Store(-1)
+	if status := ask(id, "1"); status == http.StatusOK {
+		t.Fatal("a request that was not answered was served")
+	}
+	for end := time.Now().Add(patient); tried.Load() == 0; id++ {
+		if time.Now().After(end) {
+			t.Fatalf("backend %d, silent once, is not tried again in %v", hung.Load(), patient)
+		}
+		time.Sleep(5 * time.Millisecond) // so that the customer stays within its quota
+		if status := ask(id+1, "20.5"); status != http.StatusOK {
+			t.Fatalf("an ordinary request was answered %d", status)
+		}
+	}
+}
+
 func b2i(b bool) int {
 	if b {
 		return 1
