--- a/gateway.go
+++ b/gateway.go
@@ -429,9 +429,9 @@
 // business. N stays between half of what a second's answers can carry without being late, as cuts come late
 // and go on after a jam, and all of it: by Little's law what is beyond must be late. At many doors a second
 // holds an attempt or two: means fade over seconds, N is a fraction where that is a door's part, mostly bad
-// presses however few they are, and N grows only if something has ended since its cut. Of a second's few dozen
-// outcomes more than 5 in 100 are often bad by chance, and N takes many seconds to grow back from a cut: what
-// presses must lie byChance over it. Against a jam, in which most are bad, that costs at most a second.
+// presses however few they are, and N grows only if something has ended since its cut. Of a few dozen
+// outcomes more than 5 in 100 are often bad by chance, and N takes many seconds to grow back: what presses
+// must lie byChance over that. In a jam, where most are bad, it costs a second at most.
 func (g *Gateway) adjustN() {
 	weight := max(slowest, min(0.5, g.sendRate/minEnded))
 	sick, ready := 0, 0
