Never close a client's connection on which a request has begun

The server calls a connection active only once it has read a whole head. With 4,063 requests written in pieces and clients' connections at their bound (471 of 1,024 descriptors), the table took one whose first piece had been read for a silent one, as pending() then sees nothing (conns.go shrink), and closed it. Now a connection remembers that something was read since it was new or idle, and is spared like one with something unread. Ruled out: the margins (1 answer at the last moment in 89,000). The loopback test loses the request without the change.

--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -92,7 +92,7 @@
 		},
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(listener) }()
+	go func() { ended <- srv.Serve(clientListener{listener}) }()
 	select {
 	case err := <-ended:
 		return err
--- a/internal/frontdoor/conns.go
+++ b/internal/frontdoor/conns.go
@@ -6,9 +6,45 @@
 	"net/http"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
+// clientListener accepts connections that know whether a request has begun on them. The server takes a connection for
+// idle until it has read a whole head, and a head may come in pieces.
+type clientListener struct{ net.Listener }
+
+func (l clientListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: c}, nil
+}
+
+// clientConn is a client's connection.
+type clientConn struct {
+	net.Conn
+	begun atomic.Bool // something has been read since it was new or idle
+}
+
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.begun.Store(true)
+	}
+	return n, err
+}
+
+// SyscallConn lets pending look at the connection below.
+func (c *clientConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.ENOTSUP
+	}
+	return sc.SyscallConn()
+}
+
 // connTable bounds the connections that clients hold. Where one comes too many, the one that has been silent for
 // longest is closed, be it between requests or without a first one. One with a request open is never closed.
 type connTable struct {
@@ -32,6 +68,9 @@
 	}
 	switch state {
 	case http.StateNew, http.StateIdle:
+		if cc, ok := c.(*clientConn); ok && state == http.StateIdle {
+			cc.begun.Store(false) // what was read until here is answered
+		}
 		t.open[c] = t.quiet.PushBack(c)
 	case http.StateActive:
 		t.open[c] = nil
@@ -46,12 +85,12 @@
 	}
 }
 
-// shrink closes the longest silent until the rest are few enough. One on which something has come that is not read
-// yet is spared, if there is another.
+// shrink closes the longest silent until the rest are few enough. One on which something has come since its last
+// answer, be it read or not, is spared, if there is another: closing it would lose the request that has begun there.
 func (t *connTable) shrink() {
 	for over := len(t.open) - t.most; over > 0 && t.quiet.Len() > 0; over-- {
 		e := t.quiet.Front()
-		for e.Next() != nil && pending(e.Value.(net.Conn)) == waiting {
+		for e.Next() != nil && asking(e.Value.(net.Conn)) {
 			e = e.Next()
 		}
 		c := t.quiet.Remove(e).(net.Conn)
@@ -60,6 +99,13 @@
 	}
 }
 
+// asking tells whether some of a request has come on a connection that counts as silent.
+func asking(c net.Conn) bool {
+	seen := pending(c) // first, as what it sees may be read right behind
+	cc, ok := c.(*clientConn)
+	return seen == waiting || ok && cc.begun.Load()
+}
+
 // sight is what can be seen on a connection without taking anything from it.
 type sight uint8
 
--- a/internal/frontdoor/conns_test.go
+++ b/internal/frontdoor/conns_test.go
@@ -40,22 +40,28 @@
 	return string(said)
 }
 
-// Clients that connect and say nothing use up the descriptors, and then nobody is served. Past the bound the longest
-// silent is closed, and never one with a request open.
-func TestSilentConnectionsMakeRoom(t *testing.T) {
-	g := script(nil)
+// startSmall starts a door that lets clients have five connections.
+func startSmall(t *testing.T, g decider) (*door, *Clients) {
+	t.Helper()
 	c := config(t)
-	c.Limits.Sockets = 12 // five connections of clients
+	c.Limits.Sockets = 12
 	l := newLoop(clock{time.Now()}, g, NewBackends(c))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
+	t.Cleanup(stop)
 	clients := NewClients(c, l)
 	go clients.Run(ctx, ln)
-	d := &door{addr: ln.Addr().String()}
+	return &door{addr: ln.Addr().String(), loop: l}, clients
+}
+
+// Clients that connect and say nothing use up the descriptors, and then nobody is served. Past the bound the longest
+// silent is closed, and never one with a request open.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	g := script(nil)
+	d, clients := startSmall(t, g)
 
 	asking := dialAll(t, d.addr, 1)[0]
 	if err := d.ask(t, "look", nil).Write(asking); err != nil {
@@ -68,14 +74,67 @@
 		t.Errorf("%d connections are open, 5 may be", n)
 	}
 	clients.conns.mu.Unlock()
-	l.mu.Lock()
-	l.do(ct.Fail{Request: id})
-	l.mu.Unlock()
+	d.loop.mu.Lock()
+	d.loop.do(ct.Fail{Request: id})
+	d.loop.mu.Unlock()
 	if res, err := http.ReadResponse(bufio.NewReader(asking), nil); err != nil || res.StatusCode != http.StatusBadGateway {
 		t.Errorf("the connection with a request open: %v, %v", res, err)
 	}
 }
 
+// A request that comes in pieces has begun when its first piece has been read, though the server still takes its
+// connection for a silent one. Closing that to make room would lose the request, be it the connection's first or not.
+func TestARequestInPiecesIsNoSilence(t *testing.T) {
+	for name, before := range map[string]int{"on a new connection": 0, "on a kept connection": 1} {
+		t.Run(name, func(t *testing.T) {
+			g := script(func(ev ct.Event) []ct.Action {
+				if r, ok := ev.(ct.Request); ok {
+					return []ct.Action{ct.Refuse{Request: r.ID}}
+				}
+				return nil
+			})
+			d, clients := startSmall(t, g)
+			var text strings.Builder
+			if err := d.ask(t, "look", nil).Write(&text); err != nil {
+				t.Fatal(err)
+			}
+			conn := dialAll(t, d.addr, 1)[0]
+			answers := bufio.NewReader(conn)
+			answered := func() {
+				t.Helper()
+				if res, err := http.ReadResponse(answers, nil); err != nil || res.StatusCode != http.StatusServiceUnavailable {
+					t.Fatalf("answered %v, %v", res, err)
+				}
+			}
+			for range before {
+				io.WriteString(conn, text.String())
+				answered()
+			}
+			quiet := func(begun bool) bool { // the connection counts as silent, with or without something read
+				clients.conns.mu.Lock()
+				defer clients.conns.mu.Unlock()
+				e := clients.conns.quiet.Front()
+				return e != nil && e.Value.(*clientConn).begun.Load() == begun
+			}
+			for _, piece := range []bool{false, true} {
+				if piece {
+					io.WriteString(conn, text.String()[:40])
+				}
+				for end := time.Now().Add(patient); !quiet(piece); time.Sleep(time.Millisecond) {
+					if time.Now().After(end) {
+						t.Fatal("the piece was never read")
+					}
+				}
+			}
+			for _, c := range dialAll(t, d.addr, 6)[:2] {
+				awaitEnd(t, c) // others make room
+			}
+			io.WriteString(conn, text.String()[40:])
+			answered()
+		})
+	}
+}
+
 // The longest silent goes first, unless something has come on it that only is not read yet.
 func TestWhichConnectionGoes(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
