Count a period of the meter once, in whatever order answers tell it

Cause: onReading took each reading that differed, half a period after the last one, for the next period's, and moved storeAt a whole period on. Mend: no reading carries storeAt nearer to now than half a period short of a reading's age. The loopback test is refused without the change. Conclusion: the quota's caution was partly a fault. What stays is unseen use of other doors.

--- a/gateway.go
+++ b/gateway.go
@@ -553,10 +553,14 @@
 	return c.plan.Rate <= 0 || c.room(g.now) >= 100*units/c.plan.Rate+margin*c.capacity()
 }
 
-// onReading counts one reading of the meter for each period, though many answers repeat it; they jitter.
+// onReading counts one reading of the meter for each period, though many answers repeat it; they jitter, and
+// come out of order. None may carry storeAt nearer to now than half a period short of a reading's age: that
+// period is counted already. Else storeAt would run ahead of the clock, and the store stand still for good. A
+// meter that is quicker than readingAge is followed that much later.
 func (g *Gateway) onReading(c *customer, use float64) {
 	p := g.set.MeterPeriod
-	if p <= 0 || c.heard > 0 && (g.now-c.read < p/2 || use == c.lastUse && g.now-c.read < p) {
+	if p <= 0 || c.heard > 0 && (g.now-c.read < p/2 || use == c.lastUse && g.now-c.read < p ||
+		c.storeAt > g.now-(readingAge*2+1)*p/2) {
 		return
 	}
 	c.read, c.lastUse = g.now, use
--- a/internal/frontdoor/backends_test.go
+++ b/internal/frontdoor/backends_test.go
@@ -515,6 +515,30 @@
 	}
 }
 
+// Answers that tell a customer's use out of order tell one period more than once. A customer that stays within its
+// quota, by its own count and by every reading, must not be refused for that.
+func TestReadingsOutOfOrderRefuseNobody(t *testing.T) {
+	t.Parallel()
+	var asked atomic.Int64
+	d := startDoor(t, nil, serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-RateLimit-Used", fmt.Sprint(40+asked.Add(1)%2))
+		io.WriteString(w, "ok")
+	}))
+	pace := time.NewTicker(260 * time.Millisecond) // a little over half the meter's period
+	defer pace.Stop()
+	for id := range 34 {
+		<-pace.C
+		res, _ := do(t, d.ask(t, "look", func(r *http.Request) {
+			r.Header.Set("Request-Id", fmt.Sprintf("%016x", id))
+			r.Header.Set("X-Tier", "tiny")
+			r.Header.Set("X-Call-Terms", "units=0.05,spread=1,first=0") // 0.19 units a second of 0.5
+		}))
+		if res.StatusCode != http.StatusOK {
+			t.Fatalf("request %d was answered %d", id, res.StatusCode)
+		}
+	}
+}
+
 func b2i(b bool) int {
 	if b {
 		return 1
