Forget called-off attempts where nothing may be called off

Read once more: without CanCancel the list of first attempts was never shortened; a test holds it now. A strike's comment says what it does.

--- a/gateway.go
+++ b/gateway.go
@@ -2,7 +2,7 @@
 
 // The decisions of a gateway. The interface (settings, events, actions) is in api.go. Reading order:
 // constants, state, dispatch, admission, re-split, N, quota store, ceiling, server choice and health,
-// attempts, timers. docs/design.md tells which part is the published mechanism and which are exceptions.
+// attempts, timers. The comments tell where something is an exception from the published mechanism.
 
 import (
 	"cmp"
--- a/health.go
+++ b/health.go
@@ -65,9 +65,6 @@
 // called off again: it can do harm where more than that share is slow by nature, up to that share. Each class's
 // attempts are looked at in the order of their sends.
 func (g *Gateway) callOff() {
-	if !g.set.CanCancel {
-		return
-	}
 	for _, cl := range g.byClass {
 		for len(cl.first) > 0 {
 			r := cl.first[0]
@@ -76,8 +73,9 @@
 			if waits && (g.now-t.sent).Seconds() < deadAfter*cl.lat {
 				break
 			}
-			cl.first = cl.first[1:]
-			if waits && g.spare >= 1 && (r.due-g.now).Seconds() > 2*cl.lat && g.choose(r) != nil {
+			cl.first[0], cl.first = nil, cl.first[1:]
+			inTime := (r.due - g.now).Seconds() > 2*cl.lat
+			if waits && inTime && g.set.CanCancel && g.spare >= 1 && g.choose(r) != nil {
 				g.spare--
 				t.off = true
 				g.act(Cancel{Request: r.id})
@@ -87,8 +85,8 @@
 }
 
 // strike makes a backend dearer after an attempt there was called off. One may be its connection's fault, so the
-// backend is soon tried again; if no answer comes in between, it is left alone for twice as long each time.
+// backend is soon tried again; it gets twice as dear with each further one until an answer comes.
 func (g *Gateway) strike(b *backend) {
-	b.owed = min(b.owed, quietFor+min(mostStrike, float64(int(1)<<min(b.strikes, 8))))
+	b.owed = min(b.owed, quietFor+min(mostStrike, math.Ldexp(1, b.strikes)))
 	b.strikes++
 }
--- a/health_test.go
+++ b/health_test.go
@@ -90,6 +90,9 @@
 		if len(off) != c.want {
 			t.Errorf("%s: %d attempts called off, want %d", c.name, len(off), c.want)
 		}
+		if n := len(r.g.classes[c.class].first); n != 0 {
+			t.Errorf("%s: %d attempts are still looked at", c.name, n)
+		}
 		if len(off) == 0 {
 			continue
 		}
