--- a/gateway.go
+++ b/gateway.go
@@ -554,13 +554,12 @@
 }
 
 // onReading counts one reading of the meter for each period, though many answers repeat it; they jitter, and
-// come out of order. None may carry storeAt nearer to now than half a period short of a reading's age: that
-// period is counted already. Else storeAt would run ahead of the clock, and the store stand still for good. A
-// meter that is quicker than readingAge is followed that much later.
+// come out of order. None counts for a period that has not ended: one before it is told again. Else storeAt
+// would run ahead of the clock, and the store would stand still for good.
 func (g *Gateway) onReading(c *customer, use float64) {
 	p := g.set.MeterPeriod
 	if p <= 0 || c.heard > 0 && (g.now-c.read < p/2 || use == c.lastUse && g.now-c.read < p ||
-		c.storeAt > g.now-(readingAge*2+1)*p/2) {
+		c.storeAt+p > g.now) {
 		return
 	}
 	c.read, c.lastUse = g.now, use
