--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	ct "cypresstrack"
-	"cypresstrack/internal/wire"
+	"pumicecroft/decision"
+	"pumicecroft/internal/wire"
 )
 
 func main() {
@@ -24,9 +24,9 @@
 // run serves until the input ends. An input that ends inside a batch is an error.
 func run(in io.Reader, out io.Writer) error {
 	r := bufio.NewReaderSize(in, 1<<20)
-	doors := map[int]*ct.Gateway{}
+	doors := map[int]*decision.Gateway{}
 	var reply bytes.Buffer
-	var actions []ct.Action
+	var actions []decision.Action
 	var now time.Duration
 	inBatch := false
 	for number := 1; ; number++ {
@@ -61,7 +61,7 @@
 			}
 			reply.Reset()
 		case m.Start != nil:
-			g, err := ct.New(m.Start.Settings, m.Start.Seed, now)
+			g, err := decision.New(m.Start.Settings, m.Start.Seed, now)
 			if err != nil {
 				return fmt.Errorf("line %d: %w", number, err)
 			}
--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -14,7 +14,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"cypresstrack/internal/frontdoor"
+	"pumicecroft/internal/frontdoor"
 )
 
 func main() {
--- a/api.go
+++ b/decision/api.go
@@ -1,4 +1,4 @@
-// Package cypresstrack makes the decisions of a gateway that holds every customer of a shared back end to
+// Package decision makes the decisions of a gateway that holds every customer of a shared back end to
 // its plan: which requests go on, to which backend, when to try again, and when to refuse.
 //
 // An embedding front door creates one Gateway with New and passes it everything that happens, in order, by
@@ -6,7 +6,7 @@
 // holds no locks and keeps no package state: two gateways given the same seed and events act alike. A
 // Gateway is not safe for concurrent use. All times are durations on one clock that only moves forward and
 // whose origin does not matter. The decisions are in gateway.go, health.go and advice.go.
-package cypresstrack
+package decision
 
 import (
 	"errors"
--- a/gateway.go
+++ b/decision/gateway.go
@@ -1,4 +1,4 @@
-package cypresstrack
+package decision
 
 // The decisions of a gateway. The interface (settings, events, actions) is in api.go. Reading order:
 // constants, state, dispatch, admission, re-split, N, quota store, ceiling, server choice and health,
--- a/health.go
+++ b/decision/health.go
@@ -1,4 +1,4 @@
-package cypresstrack
+package decision
 
 import (
 	"math"
--- a/property_test.go
+++ b/decision/property_test.go
@@ -1,4 +1,4 @@
-package cypresstrack
+package decision
 
 import (
 	"fmt"
@@ -307,7 +307,7 @@
 			doors, least = 40, 60
 		}
 		for _, l := range runChecker(t, seed, doors, seed%2 == 0, 15000) {
-			if len(l) > 20 && l[2:19] == "cypresstrack.Send" {
+			if len(l) > 20 && l[2:15] == "decision.Send" {
 				sent++
 			}
 		}
--- a/internal/frontdoor/backends.go
+++ b/internal/frontdoor/backends.go
@@ -17,7 +17,7 @@
 	"syscall"
 	"time"
 
-	ct "cypresstrack"
+	"pumicecroft/decision"
 
 	"golang.org/x/time/rate"
 )
@@ -45,7 +45,7 @@
 
 // reply is how an attempt ended and, if it was answered, with what.
 type reply struct {
-	result      ct.Result
+	result      decision.Result
 	contentType []string
 	body        []byte
 	hasUse      bool
@@ -55,9 +55,9 @@
 
 // backend is one entry of the list of backends. Its fields other than id are guarded by Backends.mu.
 type backend struct {
-	id    ct.BackendID
+	id    decision.BackendID
 	born  int64
-	state ct.BackendState
+	state decision.BackendState
 	place *place
 }
 
@@ -69,9 +69,9 @@
 	faultLog rate.Sometimes
 
 	mu     sync.Mutex
-	lastID ct.BackendID
+	lastID decision.BackendID
 	byHost map[string]*backend // until it is gone
-	byID   map[ct.BackendID]*backend
+	byID   map[decision.BackendID]*backend
 }
 
 // columnNames are the header's names for the settings' load figures.
@@ -83,7 +83,7 @@
 	dialer := &net.Dialer{Timeout: c.Conns.Connect, KeepAlive: -1}
 	b := &Backends{reports: len(c.Settings.LoadColumns) > 0, faultLog: rate.Sometimes{First: 10, Interval: time.Second},
 		pool:   newPool(dialer.DialContext, c.Limits.backendConns(), time.Duration(idleShare*float64(c.Conns.Idle))),
-		byHost: map[string]*backend{}, byID: map[ct.BackendID]*backend{}}
+		byHost: map[string]*backend{}, byID: map[decision.BackendID]*backend{}}
 	for _, name := range c.Settings.LoadColumns {
 		if short, ok := columnNames[name]; ok {
 			name = short
@@ -94,19 +94,19 @@
 }
 
 // update applies news to the list and gives it in the gateway's form.
-func (b *Backends) update(list EndpointList, c clock) []ct.BackendInfo {
+func (b *Backends) update(list EndpointList, c clock) []decision.BackendInfo {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var infos []ct.BackendInfo
+	var infos []decision.BackendInfo
 	if list.Whole {
 		for _, be := range b.byHost {
-			be.state = ct.Gone // unless listed
+			be.state = decision.Gone // unless listed
 		}
 	}
 	for _, e := range list.Hosts {
 		be := b.byHost[e.Host]
 		if be == nil {
-			if states[e.Health] == ct.Gone {
+			if states[e.Health] == decision.Gone {
 				continue // never named, or forgotten
 			}
 			b.lastID++
@@ -120,11 +120,11 @@
 			be.place = &place{addr: e.Dial}
 		}
 		be.born, be.state = e.BornMS, states[e.Health]
-		infos = append(infos, ct.BackendInfo{ID: be.id, State: be.state, Zone: e.Site, Kind: e.Class, Cell: e.Block,
+		infos = append(infos, decision.BackendInfo{ID: be.id, State: be.state, Zone: e.Site, Kind: e.Class, Cell: e.Block,
 			Started: c.unixMilli(e.BornMS), Weight: e.Share})
 	}
 	for host, be := range b.byHost {
-		if be.state == ct.Gone {
+		if be.state == decision.Gone {
 			b.pool.clear(be.place)
 			delete(b.byHost, host) // if it comes back it is a new one, to the gateway as well
 			delete(b.byID, be.id)
@@ -134,10 +134,10 @@
 }
 
 // ready gives the place of a backend that may be sent something now, else nil.
-func (b *Backends) ready(id ct.BackendID) *place {
+func (b *Backends) ready(id decision.BackendID) *place {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if be := b.byID[id]; be != nil && be.state == ct.Ready {
+	if be := b.byID[id]; be != nil && be.state == decision.Ready {
 		return be.place
 	}
 	return nil
@@ -147,8 +147,8 @@
 var errStale = errors.New("the backend may be sent nothing new")
 
 // send makes one attempt and tells how it ended. It never sends twice.
-func (b *Backends) send(ctx context.Context, id ct.BackendID, m *message) *reply {
-	r := &reply{result: ct.NotSent}
+func (b *Backends) send(ctx context.Context, id decision.BackendID, m *message) *reply {
+	r := &reply{result: decision.NotSent}
 	at := b.ready(id)
 	if at == nil || ctx.Err() != nil {
 		return r
@@ -156,10 +156,10 @@
 	c, err := b.write(ctx, id, at, m)
 	if err != nil {
 		if ctx.Err() == nil && !errors.Is(err, errStale) && !errors.Is(err, errFull) && !errors.Is(err, syscall.EMFILE) {
-			r.result = ct.NoConnection
+			r.result = decision.NoConnection
 		}
 		if context.Cause(ctx) == context.Canceled {
-			r.result = ct.Cancelled
+			r.result = decision.Cancelled
 		}
 		b.fault(at, err)
 		return r
@@ -175,15 +175,15 @@
 	case err == nil:
 		return r
 	case context.Cause(ctx) == context.Canceled:
-		r.result = ct.Cancelled
+		r.result = decision.Cancelled
 		return r
 	case ctx.Err() != nil:
-		r.result = ct.TimedOut
+		r.result = decision.TimedOut
 		return r
 	case errors.Is(err, errEnded):
-		r.result = ct.Broken
+		r.result = decision.Broken
 	default: // spoilt: the backend is as well as before, and the request may have run
-		r.result = ct.Unknown
+		r.result = decision.Unknown
 	}
 	b.fault(at, err)
 	return r
@@ -195,7 +195,7 @@
 
 // write sends a request whole. An error means that its last byte was not written, so it has never run. A kept
 // connection that turns out to be dead before then is made up for by a new one.
-func (b *Backends) write(ctx context.Context, id ct.BackendID, at *place, m *message) (*kept, error) {
+func (b *Backends) write(ctx context.Context, id decision.BackendID, at *place, m *message) (*kept, error) {
 	for fresh := false; ; fresh = true {
 		c, err := b.pool.get(ctx, at, fresh)
 		if err != nil {
@@ -271,12 +271,12 @@
 	}
 	switch {
 	case res.StatusCode == http.StatusOK:
-		r.result, r.body, r.contentType = ct.Answered, body, res.Header["Content-Type"]
+		r.result, r.body, r.contentType = decision.Answered, body, res.Header["Content-Type"]
 	case (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusGatewayTimeout) &&
 		res.Header.Get("Not-Started") == "1":
-		r.result = ct.Refused
+		r.result = decision.Refused
 	default:
-		r.result = ct.AnsweredErr // it may have run
+		r.result = decision.AnsweredErr // it may have run
 	}
 	if v, err := strconv.ParseFloat(res.Header.Get("X-RateLimit-Used"), 64); err == nil && v >= 0 && v <= maxUse {
 		r.hasUse, r.use = true, v
@@ -334,8 +334,8 @@
 }
 
 // probe asks a backend for its health, with its load if there are reports.
-func (b *Backends) probe(id ct.BackendID) ct.ProbeResult {
-	out := ct.ProbeResult{Backend: id}
+func (b *Backends) probe(id decision.BackendID) decision.ProbeResult {
+	out := decision.ProbeResult{Backend: id}
 	m := &message{method: http.MethodGet, target: "/health", header: http.Header{}}
 	if b.reports {
 		m.target = "/status/load"
@@ -345,7 +345,7 @@
 	start := time.Now()
 	r := b.send(ctx, id, m)
 	out.Result, out.Took, out.Load = r.result, time.Since(start), r.load
-	if b.reports && r.result == ct.Answered {
+	if b.reports && r.result == decision.Answered {
 		out.Load = b.parseLoad(strings.TrimSpace(string(r.body)))
 	}
 	return out
--- a/internal/frontdoor/backends_test.go
+++ b/internal/frontdoor/backends_test.go
@@ -14,10 +14,10 @@
 	"testing"
 	"time"
 
-	ct "cypresstrack"
+	"pumicecroft/decision"
 )
 
-func attempts(t *testing.T, addr string) (*Backends, ct.BackendID) {
+func attempts(t *testing.T, addr string) (*Backends, decision.BackendID) {
 	t.Helper()
 	b := NewBackends(config(t))
 	return b, b.update(ready(addr), clock{time.Now()})[0].ID
@@ -46,11 +46,11 @@
 		b, id := attempts(t, addr)
 		ctx, cancel := context.WithTimeout(t.Context(), patient)
 		defer cancel()
-		if r := b.send(ctx, id, m); r.result != ct.Answered {
+		if r := b.send(ctx, id, m); r.result != decision.Answered {
 			t.Fatalf("%s: first attempt ended as %v", name, r.result)
 		}
 		time.Sleep(2 * restTime) // so that the second takes the same connection
-		if r := b.send(ctx, id, m); r.result != ct.Broken {
+		if r := b.send(ctx, id, m); r.result != decision.Broken {
 			t.Errorf("%s: on a connection that broke the attempt ended as %v, want Broken", name, r.result)
 		}
 		if n := seen.Load(); n != 2 {
@@ -82,44 +82,44 @@
 	}
 	for name, c := range map[string]struct {
 		answer func(int, net.Conn)
-		want   ct.Result
+		want   decision.Result
 	}{
-		"served":               {reply(200), ct.Answered},
-		"error":                {reply(500), ct.AnsweredErr},
-		"not found":            {reply(404), ct.AnsweredErr},
-		"turned away with 503": {reply(503, "Not-Started", "1"), ct.Refused},
-		"turned away with 504": {reply(504, "Not-Started", "1"), ct.Refused},
-		"503 without proof":    {reply(503), ct.AnsweredErr},
-		"504 that denies it":   {reply(504, "Not-Started", "0"), ct.AnsweredErr},
-		"500 never proves it":  {reply(500, "Not-Started", "1"), ct.AnsweredErr},
-		"connection ends":      {text(""), ct.Broken},
+		"served":               {reply(200), decision.Answered},
+		"error":                {reply(500), decision.AnsweredErr},
+		"not found":            {reply(404), decision.AnsweredErr},
+		"turned away with 503": {reply(503, "Not-Started", "1"), decision.Refused},
+		"turned away with 504": {reply(504, "Not-Started", "1"), decision.Refused},
+		"503 without proof":    {reply(503), decision.AnsweredErr},
+		"504 that denies it":   {reply(504, "Not-Started", "0"), decision.AnsweredErr},
+		"500 never proves it":  {reply(500, "Not-Started", "1"), decision.AnsweredErr},
+		"connection ends":      {text(""), decision.Broken},
 		"connection reset": {func(_ int, conn net.Conn) {
 			conn.(*net.TCPConn).SetLinger(0)
 			conn.Close()
-		}, ct.Broken},
+		}, decision.Broken},
 		// A spoilt answer may have run, and says nothing bad of the backend: as Broken it would be held back and
 		// taken for one that has restarted.
-		"body cut midway":     {text("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), ct.Unknown},
-		"head cut midway":     {text("HTTP/1.1 20"), ct.Unknown},
-		"not HTTP":            {text("\x00\x01garbage\r\n\r\n"), ct.Unknown},
-		"body never ends":     {open("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), ct.Unknown},
-		"head never ends":     {open("HTTP/1.1 200 OK\r\nA: b\r\n"), ct.Unknown},
-		"head over the limit": {open("HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", maxHead)), ct.Unknown},
-		"3 GB announced":      {open("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok"), ct.Unknown},
-		"two lengths":         {open("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok"), ct.Unknown},
-		"negative length":     {open("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"), ct.Unknown},
-		"no length":           {text("HTTP/1.1 200 OK\r\n\r\nok"), ct.Unknown},
-		"bad chunks":          {open("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok"), ct.Unknown},
+		"body cut midway":     {text("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), decision.Unknown},
+		"head cut midway":     {text("HTTP/1.1 20"), decision.Unknown},
+		"not HTTP":            {text("\x00\x01garbage\r\n\r\n"), decision.Unknown},
+		"body never ends":     {open("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), decision.Unknown},
+		"head never ends":     {open("HTTP/1.1 200 OK\r\nA: b\r\n"), decision.Unknown},
+		"head over the limit": {open("HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", maxHead)), decision.Unknown},
+		"3 GB announced":      {open("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok"), decision.Unknown},
+		"two lengths":         {open("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok"), decision.Unknown},
+		"negative length":     {open("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"), decision.Unknown},
+		"no length":           {text("HTTP/1.1 200 OK\r\n\r\nok"), decision.Unknown},
+		"bad chunks":          {open("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok"), decision.Unknown},
 		"chunks over the limit": {open("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
-			strings.Repeat("8000\r\n"+strings.Repeat("x", 0x8000)+"\r\n", 3)), ct.Unknown},
-		"1xx without end":         {open(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxHead/20)), ct.Unknown},
-		"1xx ahead":               {open("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + okReply), ct.Answered},
-		"switch":                  {open("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"), ct.Unknown},
-		"chunks":                  {open("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), ct.Answered},
-		"largest body":            {open("HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", maxBody)), ct.Answered},
-		"absurd use":              {reply(200, "X-RateLimit-Used", "1e300", "Server-Load", "queue=-5,qps=1"), ct.Answered},
-		"use below 0":             {reply(200, "X-RateLimit-Used", "-3", "Server-Load", "queue=NaN,qps=1"), ct.Answered},
-		"unreadable use and load": {reply(200, "X-RateLimit-Used", "lots", "Server-Load", "queue=x,qps="), ct.Answered},
+			strings.Repeat("8000\r\n"+strings.Repeat("x", 0x8000)+"\r\n", 3)), decision.Unknown},
+		"1xx without end":         {open(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxHead/20)), decision.Unknown},
+		"1xx ahead":               {open("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + okReply), decision.Answered},
+		"switch":                  {open("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"), decision.Unknown},
+		"chunks":                  {open("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), decision.Answered},
+		"largest body":            {open("HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", maxBody)), decision.Answered},
+		"absurd use":              {reply(200, "X-RateLimit-Used", "1e300", "Server-Load", "queue=-5,qps=1"), decision.Answered},
+		"use below 0":             {reply(200, "X-RateLimit-Used", "-3", "Server-Load", "queue=NaN,qps=1"), decision.Answered},
+		"unreadable use and load": {reply(200, "X-RateLimit-Used", "lots", "Server-Load", "queue=x,qps="), decision.Answered},
 	} {
 		b, id := attempts(t, raw(t, c.answer))
 		ctx, cancel := context.WithTimeout(t.Context(), patient)
@@ -137,21 +137,21 @@
 	}
 	ln.Close() // nobody listens there now
 	b, id := attempts(t, ln.Addr().String())
-	if r := b.send(t.Context(), id, payMessage); r.result != ct.NoConnection {
+	if r := b.send(t.Context(), id, payMessage); r.result != decision.NoConnection {
 		t.Errorf("refused connection: %v", r.result)
 	}
 	silent := func(_ int, _ net.Conn) { <-t.Context().Done() }
 	b, id = attempts(t, raw(t, silent))
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	if r := b.send(ctx, id, payMessage); r.result != ct.TimedOut {
+	if r := b.send(ctx, id, payMessage); r.result != decision.TimedOut {
 		t.Errorf("no answer in time: %v", r.result)
 	}
 	read := make(chan bool, 1)
 	b, id = attempts(t, raw(t, func(int, net.Conn) { read <- true; <-t.Context().Done() }))
 	ctx, cancel = context.WithCancel(t.Context())
 	go func() { <-read; cancel() }()
-	if r := b.send(ctx, id, payMessage); r.result != ct.Cancelled {
+	if r := b.send(ctx, id, payMessage); r.result != decision.Cancelled {
 		t.Errorf("called off: %v", r.result)
 	}
 }
@@ -201,7 +201,7 @@
 				goOn <- true
 			}()
 		}
-		if r := b.send(t.Context(), id, lookMessage); r.result != ct.NotSent {
+		if r := b.send(t.Context(), id, lookMessage); r.result != decision.NotSent {
 			t.Errorf("%s: to a draining backend: %v, want NotSent", name, r.result)
 		}
 		select {
@@ -236,7 +236,7 @@
 	list := ready(ln.Addr().String())
 	id := b.update(list, clock{time.Now()})[0].ID
 	for range 5 {
-		if r := b.send(t.Context(), id, lookMessage); r.result != ct.Answered {
+		if r := b.send(t.Context(), id, lookMessage); r.result != decision.Answered {
 			t.Fatal(r.result)
 		}
 		time.Sleep(2 * restTime)
@@ -266,19 +266,19 @@
 	b := NewBackends(c)
 	id := b.update(ready(addr), clock{time.Now()})[0].ID
 	ctx, cancel := context.WithCancel(t.Context())
-	first := make(chan ct.Result)
+	first := make(chan decision.Result)
 	go func() { first <- b.send(ctx, id, lookMessage).result }()
 	await(t, read, "the first attempt")
-	if r := b.send(t.Context(), id, lookMessage); r.result != ct.NotSent {
+	if r := b.send(t.Context(), id, lookMessage); r.result != decision.NotSent {
 		t.Errorf("one too many: %v, want NotSent", r.result)
 	}
 	cancel()
-	if r := <-first; r != ct.Cancelled {
+	if r := <-first; r != decision.Cancelled {
 		t.Errorf("the first: %v", r)
 	}
 	addr = serve(t, func(http.ResponseWriter, *http.Request) {})
 	id = b.update(ready(addr), clock{time.Now()})[0].ID
-	if r := b.send(t.Context(), id, lookMessage); r.result != ct.Answered {
+	if r := b.send(t.Context(), id, lookMessage); r.result != decision.Answered {
 		t.Errorf("with none out: %v", r.result)
 	}
 }
@@ -290,7 +290,7 @@
 		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
 	}
 	id := b.update(ready("127.0.0.1:1"), clock{time.Now()})[0].ID
-	if r := b.send(t.Context(), id, lookMessage); r.result != ct.NotSent {
+	if r := b.send(t.Context(), id, lookMessage); r.result != decision.NotSent {
 		t.Errorf("%v, want NotSent", r.result)
 	}
 }
@@ -311,7 +311,7 @@
 		}
 		io.WriteString(w, "queue=3,qps=9\n")
 	}))
-	if p := b.probe(id); p.Result != ct.Answered || !slices.Equal(p.Load, []float64{3, 9}) {
+	if p := b.probe(id); p.Result != decision.Answered || !slices.Equal(p.Load, []float64{3, 9}) {
 		t.Errorf("%+v", p)
 	}
 }
@@ -334,7 +334,7 @@
 			})
 			b, id := attempts(t, addr)
 			for range 3 {
-				if r := b.send(t.Context(), id, lookMessage); r.result != ct.Answered || string(r.body) != "ok" {
+				if r := b.send(t.Context(), id, lookMessage); r.result != decision.Answered || string(r.body) != "ok" {
 					t.Errorf("%s: %v %q", name, r.result, r.body)
 				}
 				time.Sleep(2 * restTime)
@@ -370,7 +370,7 @@
 	await(t, done, "the first answer")
 	await(t, done, "the second answer")
 	time.Sleep(2 * restTime)
-	if r := b.send(t.Context(), id, lookMessage); r.result != ct.Unknown {
+	if r := b.send(t.Context(), id, lookMessage); r.result != decision.Unknown {
 		t.Errorf("a spoilt answer ended as %v", r.result)
 	}
 	b.pool.mu.Lock()
@@ -386,12 +386,12 @@
 	conns := map[net.Conn]bool{}
 	addr := raw(t, func(_ int, conn net.Conn) { conns[conn] = true; io.WriteString(conn, okReply) })
 	b := NewBackends(config(t))
-	ids := map[ct.BackendID]bool{}
+	ids := map[decision.BackendID]bool{}
 	for i := range 20 {
 		list := EndpointList{Hosts: []Endpoint{{Host: "s-" + string(rune('a'+i)), Dial: addr, Health: "Ready"}}}
 		id := b.update(list, clock{time.Now()})[0].ID
 		ids[id] = true
-		if r := b.send(t.Context(), id, lookMessage); r.result != ct.Answered {
+		if r := b.send(t.Context(), id, lookMessage); r.result != decision.Answered {
 			t.Fatal(r.result)
 		}
 		if i > 0 { // the next one is there before the last is gone
--- a/internal/frontdoor/clients.go
+++ b/internal/frontdoor/clients.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	ct "cypresstrack"
+	"pumicecroft/decision"
 
 	"golang.org/x/time/rate"
 )
@@ -45,8 +45,8 @@
 // Clients is the side of the front door that clients see.
 type Clients struct {
 	loop     *Loop
-	settings ct.Settings
-	classes  map[string]ct.Class
+	settings decision.Settings
+	classes  map[string]decision.Class
 	plans    map[string]bool
 	longest  time.Duration // of all deadlines
 	conns    *connTable
@@ -60,7 +60,7 @@
 func NewClients(config Config, loop *Loop) *Clients {
 	settings := config.Settings
 	c := &Clients{loop: loop, settings: settings, conns: newConnTable(config.Limits.clientConns()),
-		classes: map[string]ct.Class{}, plans: map[string]bool{},
+		classes: map[string]decision.Class{}, plans: map[string]bool{},
 		badLog: rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second}}
 	for _, class := range settings.Classes {
 		c.classes[class.Name] = class
@@ -193,9 +193,9 @@
 }
 
 // parse reads all of a request but its body. What it lets through is safe to pass to the gateway.
-func (c *Clients) parse(r *http.Request) (req ct.Request, msg *message, timeout time.Duration, err error) {
-	bad := func(what, value string) (ct.Request, *message, time.Duration, error) {
-		return ct.Request{}, nil, 0, fmt.Errorf("%s: %.40q", what, value)
+func (c *Clients) parse(r *http.Request) (req decision.Request, msg *message, timeout time.Duration, err error) {
+	bad := func(what, value string) (decision.Request, *message, time.Duration, error) {
+		return decision.Request{}, nil, 0, fmt.Errorf("%s: %.40q", what, value)
 	}
 	// A Content-Length next to a Transfer-Encoding is dropped unseen by the server (in HTTP/1.0 the latter is), and
 	// whoever goes by the other one finds a second request in the body. Our clients tell lengths and send HTTP/1.1.
@@ -227,7 +227,7 @@
 		return bad("path of another class", r.RequestURI)
 	}
 	method := http.MethodPost
-	if class.Effect == ct.Safe {
+	if class.Effect == decision.Safe {
 		method = http.MethodGet
 	}
 	if r.Method != method {
@@ -236,7 +236,7 @@
 	if method == http.MethodGet && r.ContentLength != 0 {
 		return bad("a GET with a body", r.RequestURI)
 	}
-	if class.Effect == ct.Keyed && h["Idempotency-Key"] == "" {
+	if class.Effect == decision.Keyed && h["Idempotency-Key"] == "" {
 		return bad("Idempotency-Key", "")
 	}
 	if !c.plans[h["X-Tier"]] {
@@ -251,7 +251,7 @@
 		return bad("Request-Timeout", h["Request-Timeout"])
 	}
 	timeout = time.Duration(min(seconds, class.Deadline.Seconds()) * float64(time.Second))
-	req = ct.Request{ID: ct.RequestID(id), Customer: ct.CustomerID(customer), Class: class.Name, Plan: h["X-Tier"]}
+	req = decision.Request{ID: decision.RequestID(id), Customer: decision.CustomerID(customer), Class: class.Name, Plan: h["X-Tier"]}
 	if err := c.parseTerms(h["X-Call-Terms"], &req); err != nil {
 		return bad("X-Call-Terms", h["X-Call-Terms"])
 	}
@@ -267,7 +267,7 @@
 var errTerms = errors.New("terms that make no sense")
 
 // parseTerms reads "units=2,spread=3,first=1"; each must be there once, and in range.
-func (c *Clients) parseTerms(text string, req *ct.Request) error {
+func (c *Clients) parseTerms(text string, req *decision.Request) error {
 	var units, spread, first bool
 	for field := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
--- a/internal/frontdoor/clients_test.go
+++ b/internal/frontdoor/clients_test.go
@@ -10,14 +10,14 @@
 	"testing"
 	"time"
 
-	ct "cypresstrack"
+	"pumicecroft/decision"
 )
 
 // sendTo sends every request to a backend and does nothing else.
-func sendTo(id ct.BackendID) func(ct.Event) []ct.Action {
-	return func(ev ct.Event) []ct.Action {
-		if r, ok := ev.(ct.Request); ok {
-			return []ct.Action{ct.Send{Request: r.ID, Backend: id}}
+func sendTo(id decision.BackendID) func(decision.Event) []decision.Action {
+	return func(ev decision.Event) []decision.Action {
+		if r, ok := ev.(decision.Request); ok {
+			return []decision.Action{decision.Send{Request: r.ID, Backend: id}}
 		}
 		return nil
 	}
@@ -88,7 +88,7 @@
 	} {
 		g := script(sendTo(1))
 		d := startDoor(t, g, "127.0.0.1:1")
-		next[ct.BackendList](t, g)
+		next[decision.BackendList](t, g)
 		if res, _ := do(t, d.ask(t, c.class, c.change)); res.StatusCode != c.status {
 			t.Errorf("%s: %s, want %d", name, res.Status, c.status)
 		}
@@ -100,9 +100,9 @@
 }
 
 func TestRefusalsSayWhenToComeBack(t *testing.T) {
-	d := startDoor(t, script(func(ev ct.Event) []ct.Action {
-		if r, ok := ev.(ct.Request); ok {
-			return []ct.Action{ct.Refuse{Request: r.ID, RetryAfter: 250 * time.Millisecond}, ct.Fail{Request: r.ID}}
+	d := startDoor(t, script(func(ev decision.Event) []decision.Action {
+		if r, ok := ev.(decision.Request); ok {
+			return []decision.Action{decision.Refuse{Request: r.ID, RetryAfter: 250 * time.Millisecond}, decision.Fail{Request: r.ID}}
 		}
 		return nil
 	}))
@@ -120,10 +120,10 @@
 	if res.StatusCode != http.StatusGatewayTimeout {
 		t.Errorf("%s, want the last moment's answer", res.Status)
 	}
-	if req := next[ct.Request](t, g); req.Patience <= 0 || req.Patience > 500*time.Millisecond-gatewayMargin {
+	if req := next[decision.Request](t, g); req.Patience <= 0 || req.Patience > 500*time.Millisecond-gatewayMargin {
 		t.Errorf("the gateway was told of %v", req.Patience)
 	}
-	next[ct.ClientGone](t, g)
+	next[decision.ClientGone](t, g)
 }
 
 // A client that closes its connection is gone: the gateway hears of it, and the attempt it calls off is closed.
@@ -134,12 +134,12 @@
 		<-r.Context().Done()
 		closed <- true
 	})
-	g := script(func(ev ct.Event) []ct.Action {
+	g := script(func(ev decision.Event) []decision.Action {
 		switch ev := ev.(type) {
-		case ct.Request:
-			return []ct.Action{ct.Send{Request: ev.ID, Backend: 1}}
-		case ct.ClientGone:
-			return []ct.Action{ct.Cancel{Request: ev.Request, Attempt: 0}, ct.Send{Request: ev.Request, Backend: 1}}
+		case decision.Request:
+			return []decision.Action{decision.Send{Request: ev.ID, Backend: 1}}
+		case decision.ClientGone:
+			return []decision.Action{decision.Cancel{Request: ev.Request, Attempt: 0}, decision.Send{Request: ev.Request, Backend: 1}}
 		}
 		return nil
 	})
@@ -153,11 +153,11 @@
 	}
 	await(t, read, "the attempt")
 	conn.Close()
-	next[ct.ClientGone](t, g)
-	if out := next[ct.Outcome](t, g); out.Attempt != 1 || out.Result != ct.NotSent || !out.Final {
+	next[decision.ClientGone](t, g)
+	if out := next[decision.Outcome](t, g); out.Attempt != 1 || out.Result != decision.NotSent || !out.Final {
 		t.Errorf("a send after the end: %+v", out)
 	}
-	if out := next[ct.Outcome](t, g); out.Attempt != 0 || out.Result != ct.Cancelled || !out.Final {
+	if out := next[decision.Outcome](t, g); out.Attempt != 0 || out.Result != decision.Cancelled || !out.Final {
 		t.Errorf("the attempt ended as %+v", out)
 	}
 	await(t, closed, "the backend's connection to be closed")
@@ -176,11 +176,11 @@
 	if err := d.ask(t, "look", nil).Write(conn); err != nil {
 		t.Fatal(err)
 	}
-	next[ct.Request](t, g)
+	next[decision.Request](t, g)
 	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
-	next[ct.ClientGone](t, g)
+	next[decision.ClientGone](t, g)
 	if res, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil && res.StatusCode < 500 {
 		t.Errorf("it read %s", res.Status)
 	}
@@ -201,7 +201,7 @@
 		res.Body.Close()
 		first <- res.StatusCode
 	}()
-	next[ct.Request](t, g)
+	next[decision.Request](t, g)
 	if res, _ := do(t, d.ask(t, "look", nil)); res.StatusCode != 400 {
 		t.Errorf("the second of one id: %s", res.Status)
 	}
--- a/internal/frontdoor/config.go
+++ b/internal/frontdoor/config.go
@@ -1,4 +1,4 @@
-// Package frontdoor puts one gateway of package cypresstrack on real sockets: it takes clients' requests over
+// Package frontdoor puts one gateway of package decision on real sockets: it takes clients' requests over
 // HTTP, carries out the gateway's decisions towards the backends and follows discovery. It decides nothing
 // itself. config.go reads the configuration, loop.go owns the gateway, clients.go and backends.go are the two
 // sides of a request, conns.go bounds the connections of clients and pool.go those to backends, discovery.go keeps
@@ -12,8 +12,8 @@
 	"os"
 	"strconv"
 
-	ct "cypresstrack"
-	"cypresstrack/internal/wire"
+	"pumicecroft/decision"
+	"pumicecroft/internal/wire"
 )
 
 // Limits are what this front door may use.
@@ -38,7 +38,7 @@
 	Seed      uint64
 	Limits    Limits
 	Known     EndpointList // the backends as this front door last had them
-	Settings  ct.Settings
+	Settings  decision.Settings
 	Conns     wire.Connections
 }
 
--- a/internal/frontdoor/conns_test.go
+++ b/internal/frontdoor/conns_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	ct "cypresstrack"
+	"pumicecroft/decision"
 )
 
 // dialAll opens connections to a door.
@@ -67,7 +67,7 @@
 	if err := d.ask(t, "look", nil).Write(asking); err != nil {
 		t.Fatal(err)
 	}
-	id := next[ct.Request](t, g).ID
+	id := next[decision.Request](t, g).ID
 	dialAll(t, d.addr, 20)
 	clients.conns.mu.Lock()
 	if n := len(clients.conns.open); n > 6 { // one may just have come
@@ -75,7 +75,7 @@
 	}
 	clients.conns.mu.Unlock()
 	d.loop.mu.Lock()
-	d.loop.do(ct.Fail{Request: id})
+	d.loop.do(decision.Fail{Request: id})
 	d.loop.mu.Unlock()
 	if res, err := http.ReadResponse(bufio.NewReader(asking), nil); err != nil || res.StatusCode != http.StatusBadGateway {
 		t.Errorf("the connection with a request open: %v, %v", res, err)
@@ -87,9 +87,9 @@
 func TestARequestInPiecesIsNoSilence(t *testing.T) {
 	for name, before := range map[string]int{"on a new connection": 0, "on a kept connection": 1} {
 		t.Run(name, func(t *testing.T) {
-			g := script(func(ev ct.Event) []ct.Action {
-				if r, ok := ev.(ct.Request); ok {
-					return []ct.Action{ct.Refuse{Request: r.ID}}
+			g := script(func(ev decision.Event) []decision.Action {
+				if r, ok := ev.(decision.Request); ok {
+					return []decision.Action{decision.Refuse{Request: r.ID}}
 				}
 				return nil
 			})
@@ -174,7 +174,7 @@
 		"X-Api-Key: 00000000b4d65521\r\nRequest-Timeout: 20\r\nIdempotency-Key: k\r\nX-Call-Terms: units=1,spread=2,first=1\r\n"
 	g := script(nil)
 	d := startDoor(t, g)
-	next[ct.BackendList](t, g)
+	next[decision.BackendList](t, g)
 	ends := make(chan string)
 	for name, text := range map[string]string{
 		"silent":       "",
@@ -206,7 +206,7 @@
 func TestTwoFramingsAreTurnedAway(t *testing.T) {
 	g := script(nil)
 	d := startDoor(t, g)
-	next[ct.BackendList](t, g)
+	next[decision.BackendList](t, g)
 	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
 		c := dialAll(t, d.addr, 1)[0]
 		io.WriteString(c, "POST /pay "+proto+"\r\nHost: h\r\nRequest-Id: 9b1f03aa5c7e2d41\r\nRequest-Class: pay\r\nX-Tier: basic\r\n"+
--- a/internal/frontdoor/discovery.go
+++ b/internal/frontdoor/discovery.go
@@ -12,7 +12,7 @@
 	"slices"
 	"time"
 
-	ct "cypresstrack"
+	"pumicecroft/decision"
 
 	"golang.org/x/time/rate"
 )
@@ -36,13 +36,13 @@
 	BornMS int64   `json:"born_ms"`
 }
 
-var states = map[string]ct.BackendState{"Ready": ct.Ready, "Terminating": ct.Draining, "Gone": ct.Gone}
+var states = map[string]decision.BackendState{"Ready": decision.Ready, "Terminating": decision.Draining, "Gone": decision.Gone}
 
 // usable leaves out the entries that make no sense.
 func usable(hosts []Endpoint) []Endpoint {
 	return slices.DeleteFunc(hosts, func(e Endpoint) bool {
 		state, ok := states[e.Health]
-		bad := !ok || e.Host == "" || e.Dial == "" && state != ct.Gone || e.BornMS < 0
+		bad := !ok || e.Host == "" || e.Dial == "" && state != decision.Gone || e.BornMS < 0
 		if bad {
 			slog.Warn("discovery: an entry that makes no sense", "entry", e)
 		}
--- a/internal/frontdoor/discovery_test.go
+++ b/internal/frontdoor/discovery_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	ct "cypresstrack"
+	"pumicecroft/decision"
 )
 
 const entry = `{"host":"s-1","dial":"127.0.0.1:%d","site":"a","class":"m2","block":3,"health":"%s","share":1.0,"born_ms":0}`
@@ -82,8 +82,8 @@
 	l.Update(EndpointList{Whole: true, Hosts: []Endpoint{e("s-1", "127.0.0.1:7", "Ready", 0),
 		e("", "127.0.0.1:7", "Ready", 0), e("s-3", "127.0.0.1:7", "Unwell", 0), e("s-4", "", "Ready", 0),
 		e("s-2", "127.0.0.1:8", "Ready", hourAgo), e("s-5", "127.0.0.1:9", "Ready", 1)}})
-	first := next[ct.BackendList](t, g)
-	if first.Kind != ct.ListFull || len(first.Backends) != 3 {
+	first := next[decision.BackendList](t, g)
+	if first.Kind != decision.ListFull || len(first.Backends) != 3 {
 		t.Fatalf("%+v", first)
 	}
 	if s := first.Backends[1].Started; s < origin-time.Hour-time.Second || s > origin-time.Hour+time.Second {
@@ -94,13 +94,13 @@
 	}
 	l.Update(EndpointList{Hosts: []Endpoint{e("s-1", "127.0.0.1:17", "Gone", 0)}})
 	l.Update(EndpointList{Hosts: []Endpoint{e("s-1", "127.0.0.1:27", "Ready", 0)}})
-	if gone, back := next[ct.BackendList](t, g), next[ct.BackendList](t, g); gone.Kind != ct.ListChanges ||
-		gone.Backends[0].State != ct.Gone || back.Backends[0].ID == first.Backends[0].ID {
+	if gone, back := next[decision.BackendList](t, g), next[decision.BackendList](t, g); gone.Kind != decision.ListChanges ||
+		gone.Backends[0].State != decision.Gone || back.Backends[0].ID == first.Backends[0].ID {
 		t.Errorf("%+v, then %+v", gone, back)
 	}
 	two := first.Backends[1].ID
 	l.Update(EndpointList{Hosts: []Endpoint{e("s-2", "127.0.0.1:28", "Ready", hourAgo)}})
-	if again := next[ct.BackendList](t, g); again.Backends[0].ID != two || b.ready(two) == nil || b.ready(two).addr != "127.0.0.1:28" {
+	if again := next[decision.BackendList](t, g); again.Backends[0].ID != two || b.ready(two) == nil || b.ready(two).addr != "127.0.0.1:28" {
 		t.Errorf("moved: %+v, ready at %+v", again, b.ready(two))
 	}
 	l.Update(EndpointList{Whole: true}) // what a whole list lacks is gone
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/frontdoor/frontdoor_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	ct "cypresstrack"
+	"pumicecroft/decision"
 )
 
 // patient is how long a test waits for something that must happen: it fails then, and only then.
@@ -172,11 +172,11 @@
 
 // scripted is a gateway that does as it is told and keeps what it hears.
 type scripted struct {
-	heard chan ct.Event
-	on    func(ct.Event) []ct.Action
+	heard chan decision.Event
+	on    func(decision.Event) []decision.Action
 }
 
-func (s *scripted) Handle(_ time.Duration, ev ct.Event, as []ct.Action) []ct.Action {
+func (s *scripted) Handle(_ time.Duration, ev decision.Event, as []decision.Action) []decision.Action {
 	s.heard <- ev
 	if s.on != nil {
 		as = append(as, s.on(ev)...)
@@ -184,12 +184,12 @@
 	return as
 }
 
-func script(on func(ct.Event) []ct.Action) *scripted {
-	return &scripted{heard: make(chan ct.Event, 100), on: on}
+func script(on func(decision.Event) []decision.Action) *scripted {
+	return &scripted{heard: make(chan decision.Event, 100), on: on}
 }
 
 // next is the next event of a type.
-func next[E ct.Event](t testing.TB, s *scripted) E {
+func next[E decision.Event](t testing.TB, s *scripted) E {
 	t.Helper()
 	timeout := time.After(patient)
 	for {
--- a/internal/frontdoor/loop.go
+++ b/internal/frontdoor/loop.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	ct "cypresstrack"
+	"pumicecroft/decision"
 )
 
 // origin is how far before this process's start the gateway's clock begins, so that a backend's start before
@@ -49,7 +49,7 @@
 // call is a request that was taken in. It stays in the table until it has its final answer and all of its
 // attempts have ended.
 type call struct {
-	id       ct.RequestID
+	id       decision.RequestID
 	msg      *message
 	due      time.Time   // attempts end by then
 	final    chan answer // takes the final answer, if there is one before the caller leaves
@@ -60,7 +60,7 @@
 
 // decider is what the loop needs of the gateway.
 type decider interface {
-	Handle(now time.Duration, ev ct.Event, actions []ct.Action) []ct.Action
+	Handle(now time.Duration, ev decision.Event, actions []decision.Action) []decision.Action
 }
 
 // Loop owns the gateway. Under one lock it passes on what happens, one event after another, and carries out
@@ -71,46 +71,46 @@
 
 	mu      sync.Mutex
 	gateway decider
-	calls   map[ct.RequestID]*call
-	events  []ct.Event  // not yet handled; an action may add to them
-	actions []ct.Action // kept for its memory
+	calls   map[decision.RequestID]*call
+	events  []decision.Event  // not yet handled; an action may add to them
+	actions []decision.Action // kept for its memory
 }
 
 // NewLoop starts a gateway that knows the backends of the configuration.
 func NewLoop(c Config, backends *Backends) (*Loop, error) {
 	k := clock{time.Now()}
-	gateway, err := ct.New(c.Settings, c.Seed, k.now())
+	gateway, err := decision.New(c.Settings, c.Seed, k.now())
 	if err != nil {
 		return nil, err
 	}
 	l := newLoop(k, gateway, backends)
-	l.update(c.Known, ct.ListSaved)
+	l.update(c.Known, decision.ListSaved)
 	return l, nil
 }
 
 func newLoop(k clock, gateway decider, backends *Backends) *Loop {
-	return &Loop{clock: k, gateway: gateway, backends: backends, calls: map[ct.RequestID]*call{}}
+	return &Loop{clock: k, gateway: gateway, backends: backends, calls: map[decision.RequestID]*call{}}
 }
 
 // Update takes in news from discovery.
 func (l *Loop) Update(list EndpointList) {
-	kind := ct.ListChanges
+	kind := decision.ListChanges
 	if list.Whole {
-		kind = ct.ListFull
+		kind = decision.ListFull
 	}
 	l.update(list, kind)
 }
 
-func (l *Loop) update(list EndpointList, kind ct.ListKind) {
+func (l *Loop) update(list EndpointList, kind decision.ListKind) {
 	list.Hosts = usable(list.Hosts)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.handle(ct.BackendList{Kind: kind, Backends: l.backends.update(list, l.clock)})
+	l.handle(decision.BackendList{Kind: kind, Backends: l.backends.update(list, l.clock)})
 }
 
 // Serve passes a request to the gateway and waits for its final answer. When ctx ends first, the request has
 // ended without one: the gateway is told that the client has gone, and the context's error comes back.
-func (l *Loop) Serve(ctx context.Context, req ct.Request, msg *message) (answer, error) {
+func (l *Loop) Serve(ctx context.Context, req decision.Request, msg *message) (answer, error) {
 	c := &call{id: req.ID, msg: msg, due: time.Now().Add(req.Patience), final: make(chan answer, 1)}
 	if err := l.begin(c, req); err != nil {
 		return answer{}, err
@@ -126,7 +126,7 @@
 	}
 }
 
-func (l *Loop) begin(c *call, req ct.Request) error {
+func (l *Loop) begin(c *call, req decision.Request) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.calls[c.id] != nil {
@@ -145,13 +145,13 @@
 		return false
 	}
 	c.ended = true
-	l.handle(ct.ClientGone{Request: c.id})
+	l.handle(decision.ClientGone{Request: c.id})
 	l.forget(c)
 	return true
 }
 
 // handle passes one event to the gateway, and then those that its actions led to. It wants the lock.
-func (l *Loop) handle(ev ct.Event) {
+func (l *Loop) handle(ev decision.Event) {
 	l.events = append(l.events, ev)
 	for i := 0; i < len(l.events); i++ {
 		l.actions = l.gateway.Handle(l.clock.now(), l.events[i], l.actions[:0])
@@ -162,36 +162,36 @@
 	l.events = l.events[:0]
 }
 
-func (l *Loop) do(a ct.Action) {
+func (l *Loop) do(a decision.Action) {
 	switch a := a.(type) {
-	case ct.Send:
+	case decision.Send:
 		l.send(a)
-	case ct.Refuse:
+	case decision.Refuse:
 		l.finish(a.Request, answer{kind: refused, retryAfter: a.RetryAfter})
-	case ct.Fail:
+	case decision.Fail:
 		l.finish(a.Request, answer{kind: failed})
-	case ct.Cancel:
+	case decision.Cancel:
 		if c := l.calls[a.Request]; c != nil && a.Attempt < len(c.attempts) {
 			c.attempts[a.Attempt]()
 		}
-	case ct.SetTimer:
-		time.AfterFunc(a.After, func() { l.post(ct.Timer{Token: a.Token}) })
-	case ct.Probe:
+	case decision.SetTimer:
+		time.AfterFunc(a.After, func() { l.post(decision.Timer{Token: a.Token}) })
+	case decision.Probe:
 		go func() { l.post(l.backends.probe(a.Backend)) }()
-	case ct.Subscribe: // discovery is always followed
+	case decision.Subscribe: // discovery is always followed
 	default:
 		slog.Error("the gateway asked for something unknown", "action", fmt.Sprintf("%T", a))
 	}
 }
 
-func (l *Loop) post(ev ct.Event) {
+func (l *Loop) post(ev decision.Event) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.handle(ev)
 }
 
 // send starts an attempt. One for a request that has ended is not sent.
-func (l *Loop) send(a ct.Send) {
+func (l *Loop) send(a decision.Send) {
 	c := l.calls[a.Request]
 	if c == nil {
 		slog.Error("the gateway sent a request that is not here", "request", a.Request)
@@ -200,7 +200,7 @@
 	n := len(c.attempts)
 	if c.ended {
 		c.attempts = append(c.attempts, func() {})
-		l.events = append(l.events, ct.Outcome{Request: c.id, Backend: a.Backend, Attempt: n, Result: ct.NotSent,
+		l.events = append(l.events, decision.Outcome{Request: c.id, Backend: a.Backend, Attempt: n, Result: decision.NotSent,
 			Final: true})
 		return
 	}
@@ -217,16 +217,16 @@
 	go func() {
 		defer cancel()
 		r := l.backends.send(ctx, a.Backend, c.msg)
-		l.outcome(c, r, ct.Outcome{Request: c.id, Backend: a.Backend, Attempt: n, Result: r.result,
+		l.outcome(c, r, decision.Outcome{Request: c.id, Backend: a.Backend, Attempt: n, Result: r.result,
 			Took: l.clock.now() - sent, HasUse: r.hasUse, Use: r.use, Load: r.load})
 	}()
 }
 
 // outcome ends an attempt. The first good answer of a request goes to its client.
-func (l *Loop) outcome(c *call, r *reply, ev ct.Outcome) {
+func (l *Loop) outcome(c *call, r *reply, ev decision.Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.result == ct.Answered {
+	if r.result == decision.Answered {
 		l.finish(c.id, answer{kind: served, reply: r})
 	}
 	ev.Final = c.ended
@@ -236,7 +236,7 @@
 }
 
 // finish gives a request its final answer. Only the first one counts.
-func (l *Loop) finish(id ct.RequestID, a answer) {
+func (l *Loop) finish(id decision.RequestID, a answer) {
 	c := l.calls[id]
 	if c == nil || c.ended {
 		return
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,4 +1,4 @@
-// Package wire translates between the lines of the simulator's wire and the types of package cypresstrack.
+// Package wire translates between the lines of the simulator's wire and the types of package decision.
 package wire
 
 import (
@@ -10,7 +10,7 @@
 	"strconv"
 	"time"
 
-	ct "cypresstrack"
+	"pumicecroft/decision"
 )
 
 // MaxTimer is the longest timer that the wire takes; longer ones are shortened to it.
@@ -25,13 +25,13 @@
 	Instance int
 	Start    *Start
 	Stop     bool
-	Event    ct.Event
+	Event    decision.Event
 }
 
 // Start begins an instance.
 type Start struct {
 	Seed     uint64
-	Settings ct.Settings
+	Settings decision.Settings
 }
 
 type line struct {
@@ -127,20 +127,20 @@
 	} `json:"stats"`
 }
 
-var results = map[string]ct.Result{
-	"delivered": ct.Answered, "app_error": ct.AnsweredErr, "shed": ct.Refused, "expired": ct.TimedOut,
-	"dial_failed": ct.NoConnection, "dropped": ct.Broken, "revoked": ct.Cancelled, "unused": ct.NotSent,
+var results = map[string]decision.Result{
+	"delivered": decision.Answered, "app_error": decision.AnsweredErr, "shed": decision.Refused, "expired": decision.TimedOut,
+	"dial_failed": decision.NoConnection, "dropped": decision.Broken, "revoked": decision.Cancelled, "unused": decision.NotSent,
 }
 
-var states = map[string]ct.BackendState{"healthy": ct.Ready, "cordoned": ct.Draining, "deregistered": ct.Gone}
+var states = map[string]decision.BackendState{"healthy": decision.Ready, "cordoned": decision.Draining, "deregistered": decision.Gone}
 
-var modes = map[string]ct.ListKind{
-	"INCREMENTAL": ct.ListChanges, "FULL": ct.ListFull, "SAVED": ct.ListSaved, "FAILED": ct.ListFailed,
+var modes = map[string]decision.ListKind{
+	"INCREMENTAL": decision.ListChanges, "FULL": decision.ListFull, "SAVED": decision.ListSaved, "FAILED": decision.ListFailed,
 }
 
-var effects = map[string]ct.Effect{"": ct.Safe, "retryable": ct.Safe, "dedup": ct.Keyed, "fragile": ct.Unsafe}
+var effects = map[string]decision.Effect{"": decision.Safe, "retryable": decision.Safe, "dedup": decision.Keyed, "fragile": decision.Unsafe}
 
-var groups = map[string]ct.Group{"": ct.GroupAll, "all": ct.GroupAll, "zone": ct.GroupZone, "cell": ct.GroupCell}
+var groups = map[string]decision.Group{"": decision.GroupAll, "all": decision.GroupAll, "zone": decision.GroupZone, "cell": decision.GroupCell}
 
 func us(v int64) time.Duration {
 	if v > math.MaxInt64/1000 {
@@ -189,55 +189,55 @@
 	case "closed_attempt":
 		m.Event, err = decodeOutcome(l)
 	case "established":
-		var id ct.RequestID
+		var id decision.RequestID
 		id, err = requestID(l)
-		m.Event = ct.AnswerStarted{Request: id, Attempt: l.Try}
+		m.Event = decision.AnswerStarted{Request: id, Attempt: l.Try}
 	case "client_left":
-		var id ct.RequestID
+		var id decision.RequestID
 		id, err = requestID(l)
-		m.Event = ct.ClientGone{Request: id}
+		m.Event = decision.ClientGone{Request: id}
 	case "sampled":
 		if l.Backend == nil {
 			return m, errors.New("sampled without a backend")
 		}
-		m.Event = ct.ProbeResult{Backend: ct.BackendID(*l.Backend), Result: result(l.Code), Took: us(l.Took),
+		m.Event = decision.ProbeResult{Backend: decision.BackendID(*l.Backend), Result: result(l.Code), Took: us(l.Took),
 			Load: l.Load}
 	case "reminder":
 		if l.Ref == nil {
 			return m, errors.New("reminder without a ref")
 		}
-		m.Event = ct.Timer{Token: *l.Ref}
+		m.Event = decision.Timer{Token: *l.Ref}
 	}
 	return m, err
 }
 
-func result(code string) ct.Result {
+func result(code string) decision.Result {
 	if r, ok := results[code]; ok {
 		return r
 	}
-	return ct.Unknown
+	return decision.Unknown
 }
 
-func requestID(l line) (ct.RequestID, error) {
+func requestID(l line) (decision.RequestID, error) {
 	if l.Txn == nil || len(*l.Txn) != 16 {
 		return 0, fmt.Errorf("%s without a request id of 16 hex digits", l.M)
 	}
 	v, err := strconv.ParseUint(*l.Txn, 16, 64)
-	if err != nil || formatID(ct.RequestID(v)) != *l.Txn {
+	if err != nil || formatID(decision.RequestID(v)) != *l.Txn {
 		return 0, fmt.Errorf("%s with the request id %q", l.M, *l.Txn)
 	}
-	return ct.RequestID(v), nil
+	return decision.RequestID(v), nil
 }
 
-func formatID(id ct.RequestID) string { return fmt.Sprintf("%016x", uint64(id)) }
+func formatID(id decision.RequestID) string { return fmt.Sprintf("%016x", uint64(id)) }
 
-func decodeRequest(l line) (ct.Event, error) {
+func decodeRequest(l line) (decision.Event, error) {
 	id, err := requestID(l)
-	return ct.Request{ID: id, Customer: ct.CustomerID(l.Caller), Class: l.Grade, Plan: l.Terms,
+	return decision.Request{ID: id, Customer: decision.CustomerID(l.Caller), Class: l.Grade, Plan: l.Terms,
 		Units: l.Units, Patience: us(l.Grace), FirstDoor: int(l.First), Spread: int(l.Spread)}, err
 }
 
-func decodeOutcome(l line) (ct.Event, error) {
+func decodeOutcome(l line) (decision.Event, error) {
 	id, err := requestID(l)
 	if err == nil && l.Backend == nil {
 		err = errors.New("an outcome without a backend")
@@ -245,23 +245,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return ct.Outcome{Request: id, Backend: ct.BackendID(*l.Backend), Attempt: l.Try, Result: result(l.Code),
+	return decision.Outcome{Request: id, Backend: decision.BackendID(*l.Backend), Attempt: l.Try, Result: result(l.Code),
 		Took: us(l.Took), Final: l.Last, HasUse: l.Use > 0, Use: float64(l.Use - 1), Units: l.Settled,
 		Load: l.Load}, nil
 }
 
-func decodeList(l line) (ct.Event, error) {
+func decodeList(l line) (decision.Event, error) {
 	kind, ok := modes[l.Mode]
 	if !ok {
 		return nil, fmt.Errorf("a list of unknown kind %q", l.Mode)
 	}
-	out := ct.BackendList{Kind: kind}
+	out := decision.BackendList{Kind: kind}
 	for _, e := range l.Elements {
 		state, ok := states[e.Health]
 		if !ok || e.Backend == nil {
 			return nil, fmt.Errorf("a list entry without a backend or with the state %q", e.Health)
 		}
-		out.Backends = append(out.Backends, ct.BackendInfo{ID: ct.BackendID(*e.Backend), State: state,
+		out.Backends = append(out.Backends, decision.BackendInfo{ID: decision.BackendID(*e.Backend), State: state,
 			Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, Started: us(e.Boot), Weight: e.Power})
 	}
 	return out, nil
@@ -286,12 +286,12 @@
 
 // DecodeSettings reads the settings of an instance. They have the same form on the wire and in the
 // configuration of a real front door.
-func DecodeSettings(text []byte) (ct.Settings, Connections, error) {
+func DecodeSettings(text []byte) (decision.Settings, Connections, error) {
 	var p params
 	if err := json.Unmarshal(text, &p); err != nil {
-		return ct.Settings{}, Connections{}, fmt.Errorf("settings: %w", err)
+		return decision.Settings{}, Connections{}, fmt.Errorf("settings: %w", err)
 	}
-	s := ct.Settings{FrontDoors: p.Balancers, Me: p.Me, Zone: p.Zone, MeterPeriod: us(p.Family.Meter),
+	s := decision.Settings{FrontDoors: p.Balancers, Me: p.Me, Zone: p.Zone, MeterPeriod: us(p.Family.Meter),
 		LargestUnits: p.Family.Largest, MaxAttempts: p.Limits.Attempts, ParallelTries: p.Limits.Parallel,
 		CanCancel: p.Limits.Cancel, CanProbe: p.Limits.Probes, AskForList: p.Discovery == "on_request",
 		LoadColumns: p.Stats.Columns, LoadInAnswers: p.Stats.How == "answers", AnswerGrace: us(p.Duties.Grace),
@@ -304,15 +304,15 @@
 		effect, ok := effects[c.Effect]
 		group, ok2 := groups[c.Group]
 		if !ok || !ok2 {
-			return ct.Settings{}, Connections{}, fmt.Errorf("class %q has the effect %q and the group %q",
+			return decision.Settings{}, Connections{}, fmt.Errorf("class %q has the effect %q and the group %q",
 				c.Name, c.Effect, c.Group)
 		}
-		s.Classes = append(s.Classes, ct.Class{Name: c.Name, Effect: effect, Group: group,
+		s.Classes = append(s.Classes, decision.Class{Name: c.Name, Effect: effect, Group: group,
 			KeyWindow: us(c.KeyTTL), Aim: us(c.Aim), Deadline: us(c.Deadline), Worth: c.Gain,
 			LateWorth: c.LateValue, Stream: c.Stream})
 	}
 	for _, t := range p.Tariffs {
-		s.Plans = append(s.Plans, ct.Plan{Name: t.Name, Rate: t.Rate, Burst: t.Burst, Open: t.Parallel,
+		s.Plans = append(s.Plans, decision.Plan{Name: t.Name, Rate: t.Rate, Burst: t.Burst, Open: t.Parallel,
 			Price: t.Value, OverWorth: t.OverWorth, OverCost: t.OverCost, CeilingRate: t.CeilRate,
 			CeilingBurst: t.CeilDepth, CeilingSlack: t.CeilSlack})
 	}
@@ -320,24 +320,24 @@
 }
 
 // AppendAction writes one action of an instance as a line.
-func AppendAction(b *bytes.Buffer, door int, a ct.Action) {
+func AppendAction(b *bytes.Buffer, door int, a decision.Action) {
 	switch a := a.(type) {
-	case ct.Send:
+	case decision.Send:
 		fmt.Fprintf(b, `{"m":"assign","door":%d,"txn":"%s","max_wait_us":%d,"backend":%d}`, door,
 			formatID(a.Request), a.Timeout.Microseconds(), a.Backend)
-	case ct.Refuse:
+	case decision.Refuse:
 		fmt.Fprintf(b, `{"m":"reject","door":%d,"txn":"%s","not_before_for_us":%d}`, door,
 			formatID(a.Request), a.RetryAfter.Microseconds())
-	case ct.Fail:
+	case decision.Fail:
 		fmt.Fprintf(b, `{"m":"surrender","door":%d,"txn":"%s"}`, door, formatID(a.Request))
-	case ct.Cancel:
+	case decision.Cancel:
 		fmt.Fprintf(b, `{"m":"recall","door":%d,"txn":"%s","try":%d}`, door, formatID(a.Request), a.Attempt)
-	case ct.SetTimer:
+	case decision.SetTimer:
 		fmt.Fprintf(b, `{"m":"timer","door":%d,"from_now_us":%d,"ref":%d}`, door,
 			min(max(a.After, 0), MaxTimer).Microseconds(), a.Token)
-	case ct.Probe:
+	case decision.Probe:
 		fmt.Fprintf(b, `{"m":"poll","door":%d,"backend":%d}`, door, a.Backend)
-	case ct.Subscribe:
+	case decision.Subscribe:
 		fmt.Fprintf(b, `{"m":"follow","door":%d,"want":true}`, door)
 	default:
 		return
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	ct "cypresstrack"
+	"pumicecroft/decision"
 )
 
 func TestDecodeEvents(t *testing.T) {
@@ -15,14 +15,14 @@
 		`{"m":"eob"}`:                        {End: true},
 		`{"m":"detach","door":2}`:            {Instance: 2, Stop: true},
 		`{"m":"call","door":3,"txn":"d4b7b4c55d3a91c4","opts":1,"spread":3,"terms":"kis","grace_us":240000,` +
-			`"cost_units":2,"first_door":1,"grade":"c","caller":7,"new":[1]}`: {Instance: 3, Event: ct.Request{
+			`"cost_units":2,"first_door":1,"grade":"c","caller":7,"new":[1]}`: {Instance: 3, Event: decision.Request{
 			ID: 0xd4b7b4c55d3a91c4, Customer: 7, Class: "c", Plan: "kis", Units: 2, Patience: 240 * time.Millisecond,
 			FirstDoor: 1, Spread: 3}},
-		`{"m":"reminder","door":3,"ref":77}`: {Instance: 3, Event: ct.Timer{Token: 77}},
+		`{"m":"reminder","door":3,"ref":77}`: {Instance: 3, Event: decision.Timer{Token: 77}},
 		`{"m":"client_left","door":5,"txn":"00000000000000ff"}`: {Instance: 5,
-			Event: ct.ClientGone{Request: 255}},
+			Event: decision.ClientGone{Request: 255}},
 		`{"m":"established","door":5,"txn":"00000000000000ff","backend":1,"try":2}`: {Instance: 5,
-			Event: ct.AnswerStarted{Request: 255, Attempt: 2}},
+			Event: decision.AnswerStarted{Request: 255, Attempt: 2}},
 		`{"m":"tally_back","door":1,"counter_key":5,"rc":"delivered"}`: {Instance: 1},
 		`{"m":"something_new","door":1}`:                               {Instance: 1},
 	} {
@@ -36,13 +36,13 @@
 func TestDecodeOutcome(t *testing.T) {
 	m, err := Decode([]byte(`{"m":"closed_attempt","door":3,"txn":"d4b7b4c55d3a91c4","duration_us":18500,"try":1,` +
 		`"seen_use":87,"backend":51530247,"rc":"delivered","last":true,"settled":3,"health_info":[0.62,140]}`))
-	o, ok := m.Event.(ct.Outcome)
-	if err != nil || !ok || o.Result != ct.Answered || !o.HasUse || o.Use != 86 || !o.Final || o.Attempt != 1 ||
+	o, ok := m.Event.(decision.Outcome)
+	if err != nil || !ok || o.Result != decision.Answered || !o.HasUse || o.Use != 86 || !o.Final || o.Attempt != 1 ||
 		len(o.Load) != 2 || o.Backend != 51530247 || o.Took != 18500*time.Microsecond {
 		t.Errorf("%+v %v", m, err)
 	}
 	m, err = Decode([]byte(`{"m":"closed_attempt","door":3,"txn":"d4b7b4c55d3a91c4","backend":1,"rc":"odd"}`))
-	if o := m.Event.(ct.Outcome); err != nil || o.Result != ct.Unknown || o.HasUse {
+	if o := m.Event.(decision.Outcome); err != nil || o.Result != decision.Unknown || o.HasUse {
 		t.Errorf("an unknown outcome code: %+v %v", o, err)
 	}
 }
@@ -50,9 +50,9 @@
 func TestDecodeList(t *testing.T) {
 	m, err := Decode([]byte(`{"m":"targets","door":3,"mode":"SAVED","elements":[{"health":"healthy","az":"a",` +
 		`"cell":4,"backend":5,"boot_time_us":6},{"health":"deregistered","backend":6}]}`))
-	l, ok := m.Event.(ct.BackendList)
-	if err != nil || !ok || l.Kind != ct.ListSaved || len(l.Backends) != 2 || l.Backends[1].State != ct.Gone ||
-		l.Backends[0] != (ct.BackendInfo{ID: 5, Zone: "a", Cell: 4, Started: 6 * time.Microsecond}) {
+	l, ok := m.Event.(decision.BackendList)
+	if err != nil || !ok || l.Kind != decision.ListSaved || len(l.Backends) != 2 || l.Backends[1].State != decision.Gone ||
+		l.Backends[0] != (decision.BackendInfo{ID: 5, Zone: "a", Cell: 4, Started: 6 * time.Microsecond}) {
 		t.Errorf("%+v %v", m, err)
 	}
 }
@@ -75,10 +75,10 @@
 
 func TestActions(t *testing.T) {
 	var b bytes.Buffer
-	for _, a := range []ct.Action{
-		ct.Send{Request: 255, Backend: 9, Timeout: time.Millisecond}, ct.Refuse{Request: 1, RetryAfter: time.Second},
-		ct.Fail{Request: 2}, ct.Cancel{Request: 3, Attempt: 1}, ct.SetTimer{After: 100 * time.Hour, Token: 4},
-		ct.Probe{Backend: 5}, ct.Subscribe{},
+	for _, a := range []decision.Action{
+		decision.Send{Request: 255, Backend: 9, Timeout: time.Millisecond}, decision.Refuse{Request: 1, RetryAfter: time.Second},
+		decision.Fail{Request: 2}, decision.Cancel{Request: 3, Attempt: 1}, decision.SetTimer{After: 100 * time.Hour, Token: 4},
+		decision.Probe{Backend: 5}, decision.Subscribe{},
 	} {
 		AppendAction(&b, 6, a)
 	}
@@ -108,7 +108,7 @@
 			t.Error("an error that says nothing")
 		}
 		if err == nil && m.Start != nil {
-			_, _ = ct.New(m.Start.Settings, m.Start.Seed, 0) // it may refuse, it must not panic
+			_, _ = decision.New(m.Start.Settings, m.Start.Seed, 0) // it may refuse, it must not panic
 		}
 	})
 }
