--- a/internal/frontdoor/bench_test.go
+++ b/bench_test.go
@@ -1,4 +1,4 @@
-package frontdoor
+package pumicecroft
 
 import (
 	"fmt"
@@ -7,18 +7,21 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"pumicecroft/internal/testkit"
 )
 
 // BenchmarkRequest is a request's way through a front door and back, with the client's and the backend's work.
 func BenchmarkRequest(b *testing.B) {
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }))
 	b.Cleanup(backend.Close)
-	d := startDoor(b, script(sendTo(1)), strings.TrimPrefix(backend.URL, "http://"))
+	g := testkit.Script(sendTo(1))
+	d := startDoor(b, g, strings.TrimPrefix(backend.URL, "http://"))
 	client := &http.Transport{}
 	b.ReportAllocs()
 	for n := 0; b.Loop(); n++ {
-		for len(d.loop.gateway.(*scripted).heard) > 0 {
-			<-d.loop.gateway.(*scripted).heard
+		for len(g.Heard) > 0 {
+			<-g.Heard
 		}
 		res, err := client.RoundTrip(d.ask(b, "look", func(r *http.Request) { r.Header.Set("Request-Id", fmt.Sprintf("%016x", n)) }))
 		if err != nil {
--- /dev/null
+++ b/cmd/pumicecroft/serve.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/internal/httpfront"
+	"pumicecroft/internal/platform"
+)
+
+// serve is one real front door: it reads the file at path and serves until ctx ends. A value from hup makes it
+// read the file again and follow the discovery that it names then.
+func serve(ctx context.Context, path string, hup <-chan struct{}) error {
+	config, err := platform.LoadConfig(path)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(config.Limits.Cores))))
+	debug.SetMemoryLimit(config.Limits.MemoryMB << 20 / 4 * 3) // the rest is for stacks, sockets and the program
+	moves := make(chan string)
+	door, err := pumicecroft.New(doorConfig(config), pumicecroft.WithLogger(slog.Default()),
+		pumicecroft.WithSource(platform.Discovery{Addr: config.Discovery, From: config.Known.Seq, Moves: moves}))
+	if err != nil {
+		return err
+	}
+	defer func() {
+		now, cancel := context.WithCancel(context.Background())
+		cancel()
+		if err := door.Close(now); err != nil { // the server has waited for all that it had taken
+			slog.Warn("ended with requests open", "err", err)
+		}
+	}()
+	listener, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		return err
+	}
+	reloading, stop := context.WithCancel(context.Background())
+	defer stop()
+	go reload(reloading, path, hup, moves)
+	slog.Info("serving", "name", config.Name, "listen", config.Listen, "backends", len(config.Known.Hosts))
+	err = httpfront.NewServer(door, config.Limits.ClientConns(), longest(config), slog.Default()).Run(ctx, listener)
+	slog.Info("ended", "err", err)
+	return err
+}
+
+// doorConfig is the platform's configuration in the library's terms.
+func doorConfig(c platform.Config) pumicecroft.Config {
+	return pumicecroft.Config{Settings: c.Settings, Seed: c.Seed, Known: c.Known.Members(),
+		BackendConns: c.Limits.BackendConns(), ConnectTimeout: c.Conns.Connect, IdleTimeout: c.Conns.Idle}
+}
+
+func longest(c platform.Config) time.Duration {
+	d := time.Duration(0)
+	for _, class := range c.Settings.Classes {
+		d = max(d, class.Deadline)
+	}
+	return d
+}
+
+// reload reads the file again at each value of hup and tells where discovery is now. A file that is no good changes
+// nothing. The counter is not used, and what else the file holds is for the next start.
+func reload(ctx context.Context, path string, hup <-chan struct{}, moves chan<- string) {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		config, err := platform.LoadConfig(path)
+		if err != nil {
+			slog.Warn("the new configuration is no good, the old one stays", "err", err)
+			continue
+		}
+		slog.Info("configured anew", "discovery", config.Discovery)
+		select {
+		case moves <- config.Discovery:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/config.go
@@ -0,0 +1,113 @@
+package pumicecroft
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/membership"
+)
+
+// Config is what a Door is made of. Settings must name at least one class and one plan; of the rest, what is 0
+// takes the default that is given.
+type Config struct {
+	// Settings are the facts that the decisions rest on: classes, plans, the number of front doors and which one
+	// this is. FrontDoors and MaxAttempts are 1 and 3 if they are 0.
+	Settings decision.Settings
+	// Seed makes the decisions' random numbers. Two Doors with one seed draw alike. 0: one at random.
+	Seed uint64
+	// Known is the list of backends as last held, from before a restart say; Update's lists take its place.
+	Known membership.List
+
+	BackendConns   int           // connections to all backends together, idle ones among them; 256
+	ConnectTimeout time.Duration // a connection that is not up by then counts as failed; 250 ms
+	IdleTimeout    time.Duration // a backend may close a connection that was idle for this long; 15 s
+	MaxOpen        int           // requests open at once; one more is refused; 4,096
+	BodyTimeout    time.Duration // for a request's body to come whole, over HTTP; 1 s
+}
+
+// The defaults of Config.
+const (
+	defaultBackendConns   = 256
+	defaultConnectTimeout = 250 * time.Millisecond
+	defaultIdleTimeout    = 15 * time.Second
+	defaultMaxOpen        = 4096
+	defaultBodyTimeout    = time.Second
+	defaultMaxAttempts    = 3
+)
+
+func (c Config) withDefaults() (Config, error) {
+	bad := func(what string, v any) (Config, error) {
+		return Config{}, fmt.Errorf("%w: %s is %v", ErrConfig, what, v)
+	}
+	for _, d := range []struct {
+		name string
+		v    *time.Duration
+		is   time.Duration
+	}{{"ConnectTimeout", &c.ConnectTimeout, defaultConnectTimeout}, {"IdleTimeout", &c.IdleTimeout, defaultIdleTimeout},
+		{"BodyTimeout", &c.BodyTimeout, defaultBodyTimeout}} {
+		if *d.v < 0 {
+			return bad(d.name, *d.v)
+		}
+		if *d.v == 0 {
+			*d.v = d.is
+		}
+	}
+	for _, d := range []struct {
+		name string
+		v    *int
+		is   int
+	}{{"BackendConns", &c.BackendConns, defaultBackendConns}, {"MaxOpen", &c.MaxOpen, defaultMaxOpen},
+		{"Settings.FrontDoors", &c.Settings.FrontDoors, 1}, {"Settings.MaxAttempts", &c.Settings.MaxAttempts, defaultMaxAttempts}} {
+		if *d.v < 0 {
+			return bad(d.name, *d.v)
+		}
+		if *d.v == 0 {
+			*d.v = d.is
+		}
+	}
+	if c.Settings.Me < 0 || c.Settings.Me >= c.Settings.FrontDoors {
+		return bad("Settings.Me", fmt.Sprintf("%d, of %d front doors", c.Settings.Me, c.Settings.FrontDoors))
+	}
+	if err := c.Settings.Validate(); err != nil {
+		return Config{}, fmt.Errorf("%w: %w", ErrConfig, err)
+	}
+	return c, nil
+}
+
+// Source supplies the list of backends: a discovery service's client, a file, a program's own list. Run reports
+// what it learns by update until ctx ends, and returns then; a source that fails reports nothing, and the last
+// list stays. It is run in a goroutine of its own; update may be called from any, and does not wait.
+type Source interface {
+	Run(ctx context.Context, update func(membership.List))
+}
+
+// Mapper turns a host's request into a Request, without its body, which the Door reads. An error is answered as a
+// bad request, unless it is one of this package's that says otherwise.
+type Mapper func(*http.Request) (Request, error)
+
+// Option changes how a Door is made.
+type Option func(*Door)
+
+// WithSource lets a source supply the list of backends until the Door is closed. There may be several; each
+// list counts as if it came by Update.
+func WithSource(s Source) Option { return func(d *Door) { d.sources = append(d.sources, s) } }
+
+// WithDeployment makes the Door one of a deployment's, which lets each number be claimed once.
+func WithDeployment(dep *Deployment) Option { return func(d *Door) { d.deployment = dep } }
+
+// WithMapper says how ServeHTTP reads a request; the default is the Door's PlatformRequest.
+func WithMapper(m Mapper) Option { return func(d *Door) { d.mapper = m } }
+
+// WithLogger takes what the Door has to say about bad input and broken backends, a few lines a second at the
+// most. The default is silence.
+func WithLogger(l *slog.Logger) Option { return func(d *Door) { d.log = l } }
+
+// WithDialer says how connections to backends are made, in place of TCP from any address.
+func WithDialer(dial func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
+	return func(d *Door) { d.dial = dial }
+}
--- a/decision/api.go
+++ b/decision/api.go
@@ -258,10 +258,12 @@
 	Attempt int
 }
 
-// SetTimer asks for a Timer event with the token.
+// SetTimer asks for a Timer event with the token. Token 0 is the gateway's own; any other belongs to Request,
+// and once that has had its final answer the timer need not come any more.
 type SetTimer struct {
-	After time.Duration
-	Token uint64
+	After   time.Duration
+	Token   uint64
+	Request RequestID
 }
 
 // Probe asks a backend for its load report.
--- a/decision/gateway.go
+++ b/decision/gateway.go
@@ -260,7 +260,7 @@
 	}
 	g.send(r, b, s)
 	cl.first = append(cl.first, r)
-	g.act(SetTimer{After: ev.Patience, Token: r.seq})
+	g.act(SetTimer{After: ev.Patience, Token: r.seq, Request: r.id})
 }
 
 // isHigh compares a worth with the recent median.
--- /dev/null
+++ b/door.go
@@ -0,0 +1,316 @@
+// Package pumicecroft is a front door that holds every customer of a shared set of backends to its plan, as a
+// library. A Door takes requests (Do in the same process, ServeHTTP over HTTP), lets its decision module say
+// which backend each goes to, whether it is tried again and which are refused, and gives each one final answer
+// before its time is up.
+//
+// The five rules that hold, whatever happens: one final answer in time; effects stay single, so what may have run
+// is repeated only where its class permits that; a backend that drains is sent nothing new; a backend that has
+// just started is sent little; hard ceilings hold over all front doors together.
+//
+// Packages middleware/nethttp and middleware/gin put a Door into a host's own server. Package decision is the
+// decision module, package membership the form in which backends are reported.
+package pumicecroft
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/core"
+	"pumicecroft/internal/drive"
+	"pumicecroft/internal/httpback"
+	"pumicecroft/membership"
+
+	"golang.org/x/time/rate"
+)
+
+// MaxBody is the most for a body, of a request or an answer, in bytes.
+const MaxBody = httpback.MaxBody
+
+const (
+	// A caller's time counts from when it asked, which over a network is before we see it, and its answer must
+	// reach it before that time is up. So the decision module is told of less time by the first margin, and the
+	// last moment, at which a request without an answer is answered here, lies the second margin before the end.
+	patienceMargin   = 40 * time.Millisecond
+	lastMomentMargin = 20 * time.Millisecond
+)
+
+// Request is what a caller asks of the backends.
+type Request struct {
+	// ID names this try of the caller: new with each one, and the same for a backend that sees it twice.
+	// 0: the Door gives one at random.
+	ID uint64
+	// Class and Plan are names from the Settings.
+	Class string
+	Plan  string
+	// Customer is whom the plan's quota counts for.
+	Customer uint64
+	// Units is what the request takes of the quota; 0: 1.
+	Units float64
+	// Timeout is how long the caller waits for the answer; 0, or more than the class's deadline: that deadline.
+	Timeout time.Duration
+	// FirstDoor and Spread say which front doors the customer uses: Spread in a row from number FirstDoor,
+	// counted round. Spread 0: all of them.
+	FirstDoor, Spread int
+	// Key is the idempotency key; classes that are keyed need one.
+	Key string
+
+	// Method, Target (path and query as they stand in the request line) and Host go on unchanged. Empty: GET for
+	// a class that is safe to repeat and POST for others; "/" and the class; "pumicecroft".
+	Method, Target, Host string
+	ContentType          string
+	// Body is not changed, and must not be until Do returns. At most MaxBody.
+	Body []byte
+
+	hasID bool // ID is one that was given, even if it is 0
+}
+
+// Answer is what a backend answered to this request, unchanged.
+type Answer struct {
+	Body        []byte
+	ContentType string
+	Attempts    int // that were made for it
+}
+
+// Door is one front door. It is safe for concurrent use. A process may hold several; they share nothing, unless
+// they are given the same Deployment.
+type Door struct {
+	config     Config
+	classes    map[string]decision.Class
+	plans      map[string]bool
+	driver     *drive.Driver
+	backends   *httpback.Backends
+	mapper     Mapper
+	log        *slog.Logger
+	dial       func(ctx context.Context, network, addr string) (net.Conn, error)
+	sources    []Source
+	deployment *Deployment
+
+	badLog, lateLog rate.Sometimes
+
+	update  sync.Mutex // lists reach the core in the order in which they changed the backends
+	stop    context.CancelFunc
+	ran     sync.WaitGroup
+	closing atomic.Bool
+	closed  bool // guarded by update
+}
+
+// New makes a Door that serves at once; until it is told of backends it refuses everything. The error is an
+// ErrConfig or an ErrDoorTaken.
+func New(config Config, options ...Option) (*Door, error) { return newDoor(config, nil, options) }
+
+// newDoor takes a decision module in place of the one that ships.
+func newDoor(config Config, decider core.Decider, options []Option) (*Door, error) {
+	config, err := config.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	if config.Seed == 0 {
+		config.Seed = rand.Uint64()
+	}
+	d := &Door{config: config, classes: map[string]decision.Class{}, plans: map[string]bool{},
+		log:    slog.New(slog.DiscardHandler),
+		badLog: rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second}}
+	d.mapper = d.PlatformRequest
+	for _, o := range options {
+		o(d)
+	}
+	set := config.Settings
+	remember := time.Duration(0)
+	for _, c := range set.Classes {
+		d.classes[c.Name] = c
+		remember = max(remember, c.Deadline+c.KeyWindow)
+	}
+	for _, p := range set.Plans {
+		d.plans[p.Name] = true
+	}
+	clock := drive.NewClock()
+	if decider == nil {
+		if decider, err = decision.New(set, config.Seed, clock.Now()); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrConfig, err)
+		}
+	}
+	d.backends = httpback.New(httpback.Config{Conns: config.BackendConns, Idle: config.IdleTimeout,
+		Connect: config.ConnectTimeout, LoadColumns: set.LoadColumns, Log: d.log, Dial: d.dial})
+	life := core.New(decider, set.Classes, core.Limits{Open: config.MaxOpen, Attempts: set.MaxAttempts,
+		Remember: remember}, clock.Now())
+	d.driver = drive.New(clock, life, d.backends, set.CanCancel)
+	if d.deployment != nil {
+		if err := d.deployment.claim(set.Me, set.FrontDoors); err != nil {
+			d.driver.Stop()
+			return nil, err
+		}
+	}
+	known := config.Known
+	known.Whole, known.Saved = true, true
+	d.Update(known)
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	for _, s := range d.sources {
+		d.ran.Go(func() { s.Run(ctx, d.Update) })
+	}
+	return d, nil
+}
+
+// Update takes in news of the backends. What it says holds for every attempt that begins after it returns.
+// Entries that make no sense are passed over.
+func (d *Door) Update(list membership.List) {
+	d.update.Lock()
+	defer d.update.Unlock()
+	if !d.closed {
+		d.driver.List(d.backends.Update(list, d.driver.Clock()))
+	}
+}
+
+// Do passes a request to the backends and returns the one final answer: an Answer, or an error that is an
+// ErrRefused, an ErrFailed or an ErrBadRequest, or, when ctx ends first, ctx's cause. What is out for a request
+// whose ctx has ended is called off at once.
+func (d *Door) Do(ctx context.Context, r Request) (*Answer, error) {
+	req, msg, err := d.check(&r)
+	if err != nil {
+		return nil, err
+	}
+	if ctx.Err() != nil {
+		return nil, left(ctx)
+	}
+	a, err := d.driver.Serve(ctx, req, r.Timeout-lastMomentMargin, msg)
+	if err != nil {
+		if known := notLetIn[err]; known != nil {
+			return nil, known
+		}
+		return nil, err
+	}
+	switch a.Verdict {
+	case core.Served:
+		reply := a.Reply.Body.(*httpback.Answer)
+		out := &Answer{Body: reply.Body, Attempts: a.Attempts}
+		if len(reply.ContentType) > 0 {
+			out.ContentType = reply.ContentType[0]
+		}
+		return out, nil
+	case core.Refused:
+		return nil, &RefusedError{RetryAfter: a.RetryAfter}
+	case core.Late:
+		d.lateLog.Do(func() { d.log.Warn("answered at the last moment", "class", r.Class, "timeout", r.Timeout) })
+		return nil, ErrLate
+	case core.Left:
+		return nil, left(ctx)
+	case core.Aborted:
+		return nil, ErrAborted
+	}
+	return nil, ErrFailed
+}
+
+func left(ctx context.Context) error {
+	return fmt.Errorf("pumicecroft: the caller left: %w", context.Cause(ctx))
+}
+
+// check fills in a request's defaults and tells what is wrong with it. What it lets through is safe to pass to
+// the decision module and to backends.
+func (d *Door) check(r *Request) (decision.Request, *httpback.Request, error) {
+	bad := func(what string, value any) (decision.Request, *httpback.Request, error) {
+		return decision.Request{}, nil, badRequest(what, value)
+	}
+	class, ok := d.classes[r.Class]
+	if !ok {
+		return bad("class", r.Class)
+	}
+	if !d.plans[r.Plan] {
+		return bad("plan", r.Plan)
+	}
+	set := &d.config.Settings
+	if r.Units == 0 {
+		r.Units = 1
+	}
+	if !(r.Units > 0) || math.IsInf(r.Units, 0) || set.LargestUnits > 0 && r.Units > set.LargestUnits {
+		return bad("units", r.Units)
+	}
+	if r.Spread == 0 {
+		r.Spread = set.FrontDoors
+	}
+	if r.Spread < 1 || r.Spread > set.FrontDoors || r.FirstDoor < 0 || r.FirstDoor >= set.FrontDoors {
+		return bad("front doors", fmt.Sprintf("%d from %d", r.Spread, r.FirstDoor))
+	}
+	if r.Timeout < 0 {
+		return bad("timeout", r.Timeout)
+	}
+	if r.Timeout == 0 || r.Timeout > class.Deadline {
+		r.Timeout = class.Deadline
+	}
+	if class.Effect == decision.Keyed && r.Key == "" {
+		return bad("key", r.Key)
+	}
+	if r.ID == 0 && !r.hasID {
+		r.ID = rand.Uint64()
+	}
+	if r.Method == "" {
+		r.Method = method(class)
+	}
+	if r.Target == "" {
+		r.Target = "/" + class.Name
+	}
+	if r.Host == "" {
+		r.Host = "pumicecroft"
+	}
+	if r.Method == "GET" && len(r.Body) > 0 {
+		return bad("a GET with a body of", len(r.Body))
+	}
+	if len(r.Body) > MaxBody {
+		return decision.Request{}, nil, ErrTooLarge
+	}
+	msg := &httpback.Request{Method: r.Method, Target: r.Target, Host: r.Host, ID: r.ID, HasID: true, Key: r.Key,
+		ContentType: r.ContentType, Body: r.Body}
+	if err := msg.Check(); err != nil {
+		return decision.Request{}, nil, fmt.Errorf("%w: %w", ErrBadRequest, err)
+	}
+	return decision.Request{ID: decision.RequestID(r.ID), Customer: decision.CustomerID(r.Customer), Class: r.Class,
+		Plan: r.Plan, Units: r.Units, Patience: r.Timeout - patienceMargin, FirstDoor: r.FirstDoor,
+		Spread: r.Spread}, msg, nil
+}
+
+// method is the method that a class's requests have on the platform.
+func method(c decision.Class) string {
+	if c.Effect == decision.Safe {
+		return "GET"
+	}
+	return "POST"
+}
+
+func badRequest(what string, value any) error {
+	return fmt.Errorf("%w: %s: %.40q", ErrBadRequest, what, fmt.Sprint(value))
+}
+
+// Open is how many requests the Door has not answered, or has an attempt out for that is being called off.
+func (d *Door) Open() int { return d.driver.Open() }
+
+// Close takes nothing new (ErrClosed), waits until all that was taken has its answer, and lets go of what the
+// Door holds. When ctx ends first, the rest is answered as ErrAborted at once, and the error tells how many
+// these were; nobody is left without an answer. Further calls do nothing.
+func (d *Door) Close(ctx context.Context) error {
+	if d.closing.Swap(true) {
+		return nil
+	}
+	owed := d.driver.Drain(ctx)
+	d.stop()
+	d.driver.Stop()
+	d.ran.Wait()
+	d.update.Lock()
+	defer d.update.Unlock()
+	d.closed = true
+	d.backends.Close()
+	if d.deployment != nil {
+		d.deployment.release(d.config.Settings.Me)
+	}
+	if owed > 0 {
+		return errors.Join(fmt.Errorf("%w: %d requests", ErrAborted, owed), context.Cause(ctx))
+	}
+	return nil
+}
--- /dev/null
+++ b/door_http_test.go
@@ -0,0 +1,557 @@
+package pumicecroft
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/core"
+	"pumicecroft/internal/httpfront"
+	"pumicecroft/internal/testkit"
+	"pumicecroft/membership"
+)
+
+// testConfig is a deployment of two front doors, with one class that is safe to repeat and one that is keyed.
+func testConfig() Config {
+	return Config{Seed: 0x8c1f30d27a5be964, Settings: decision.Settings{FrontDoors: 2, MaxAttempts: 3, CanCancel: true,
+		Classes: []decision.Class{{Name: "look", Aim: 20 * time.Second, Deadline: time.Minute, Worth: 1},
+			{Name: "pay", Effect: decision.Keyed, Group: decision.GroupCell, KeyWindow: 5 * time.Second, Aim: 20 * time.Second,
+				Deadline: time.Minute, Worth: 5}},
+		Plans:       []decision.Plan{{Name: "basic", Rate: 1000, Burst: 1000, Price: 1}, {Name: "tiny", Rate: 0.5, Burst: 1, Price: 1}},
+		MeterPeriod: 500 * time.Millisecond, LargestUnits: 3, MaxRetryAfter: 500 * time.Millisecond,
+		LoadColumns: []string{"depth", "tps"}, LoadInAnswers: true, ColdFrom: 0.2, WarmWithin: time.Second,
+		FallMultiple: 4, FallFor: time.Second}}
+}
+
+func ready(addrs ...string) membership.List {
+	list := membership.List{Whole: true}
+	for i, addr := range addrs {
+		list.Nodes = append(list.Nodes, membership.Node{Name: fmt.Sprintf("s-%d", i), Addr: addr, Weight: 1})
+	}
+	return list
+}
+
+// served is a Door behind the daemon's server, on a port of the system's choosing.
+type served struct {
+	addr string
+	door *Door
+	stop context.CancelFunc
+	done chan error
+}
+
+// startDoor starts one with a decision module of the test's; nil: the one that ships.
+func startDoor(t testing.TB, decider core.Decider, addrs ...string) *served {
+	t.Helper()
+	config := testConfig()
+	config.Known = ready(addrs...)
+	door, err := newDoor(config, decider, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	d := &served{addr: ln.Addr().String(), door: door, stop: stop, done: make(chan error, 1)}
+	server := httpfront.NewServer(door, 426, time.Minute, slog.New(slog.DiscardHandler))
+	go func() { d.done <- server.Run(ctx, ln) }()
+	t.Cleanup(func() {
+		stop()
+		now, cancel := context.WithCancel(context.Background())
+		cancel()
+		door.Close(now)
+	})
+	return d
+}
+
+// ask builds a good request; change alters it.
+func (d *served) ask(t testing.TB, class string, change func(*http.Request)) *http.Request {
+	t.Helper()
+	method, body := http.MethodGet, io.Reader(nil)
+	if class == "pay" {
+		method, body = http.MethodPost, strings.NewReader("amount=3")
+	}
+	req, err := http.NewRequest(method, "http://"+d.addr+"/"+class, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range map[string]string{"Request-Id": "9b1f03aa5c7e2d41", "Request-Class": class, "X-Tier": "basic",
+		"X-Api-Key": "00000000b4d65521", "Request-Timeout": "20.5", "X-Call-Terms": "units=2,spread=2,first=1"} {
+		req.Header.Set(k, v)
+	}
+	if class == "pay" {
+		req.Header.Set("Idempotency-Key", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
+	}
+	if change != nil {
+		change(req)
+	}
+	return req
+}
+
+// sendTo sends every request to a backend and does nothing else.
+func sendTo(id decision.BackendID) func(decision.Event) []decision.Action {
+	return func(ev decision.Event) []decision.Action {
+		if r, ok := ev.(decision.Request); ok {
+			return []decision.Action{decision.Send{Request: r.ID, Backend: id}}
+		}
+		return nil
+	}
+}
+
+func TestARequestGoesOnAndComesBackUnchanged(t *testing.T) {
+	body := strings.Repeat("b", 10000)
+	d := startDoor(t, nil, testkit.Serve(t, func(w http.ResponseWriter, r *http.Request) {
+		sent, _ := io.ReadAll(r.Body)
+		timeout, err := strconv.ParseFloat(r.Header.Get("Request-Timeout"), 64)
+		if r.RequestURI != "/pay/a%2Fb//c;d?x=1&y=%20&&" || r.Method != http.MethodPost || string(sent) != "amount=3" ||
+			r.Header.Get("Request-Id") != "9b1f03aa5c7e2d41" || r.Host != "origin.svc" ||
+			r.Header.Get("Idempotency-Key") != "5c0f6e1a2b3d4c59a8b7c6d5e4f30211" ||
+			err != nil || timeout <= 0 || timeout > 20.5 {
+			t.Errorf("the backend was sent %s %s %v %q", r.Method, r.RequestURI, r.Header, sent)
+		}
+		io.WriteString(w, body)
+	}))
+	req := d.ask(t, "pay", func(r *http.Request) {
+		r.URL.Opaque = "/pay/a%2Fb//c;d?x=1&y=%20&&"
+		r.Host = "origin.svc"
+	})
+	if res, got := testkit.Do(t, req); res.StatusCode != 200 || got != body {
+		t.Errorf("%s, %d bytes", res.Status, len(got))
+	}
+}
+
+// What cannot be read is a failure at once: the gateway and the backends hear nothing of it.
+func TestBadRequests(t *testing.T) {
+	set := func(name, value string) func(*http.Request) {
+		return func(r *http.Request) { r.Header.Set(name, value) }
+	}
+	for name, c := range map[string]struct {
+		class  string
+		change func(*http.Request)
+		status int
+	}{
+		"no id":             {"look", func(r *http.Request) { r.Header.Del("Request-Id") }, 400},
+		"short id":          {"look", set("Request-Id", "9b1f"), 400},
+		"id not hex":        {"look", set("Request-Id", "9b1f03aa5c7e2dzz"), 400},
+		"two ids":           {"look", func(r *http.Request) { r.Header.Add("Request-Id", "9b1f03aa5c7e2d42") }, 400},
+		"unknown class":     {"look", set("Request-Class", "dream"), 400},
+		"class of no path":  {"look", set("Request-Class", "pay"), 400},
+		"wrong method":      {"look", func(r *http.Request) { r.Method = http.MethodPost }, 400},
+		"GET with a body":   {"look", func(r *http.Request) { r.Body, r.ContentLength = io.NopCloser(strings.NewReader("x")), 1 }, 400},
+		"no key":            {"pay", func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
+		"unknown plan":      {"look", set("X-Tier", "gold"), 400},
+		"customer too high": {"look", set("X-Api-Key", "0000000200000000"), 400},
+		"customer not hex":  {"look", set("X-Api-Key", "-000000000000001"), 400},
+		"no timeout":        {"look", func(r *http.Request) { r.Header.Del("Request-Timeout") }, 400},
+		"timeout NaN":       {"look", set("Request-Timeout", "NaN"), 400},
+		"timeout infinite":  {"look", set("Request-Timeout", "Inf"), 400},
+		"timeout below 0":   {"look", set("Request-Timeout", "-1"), 400},
+		"no terms":          {"look", set("X-Call-Terms", ""), 400},
+		"units NaN":         {"look", set("X-Call-Terms", "units=NaN,spread=2,first=1"), 400},
+		"units of none":     {"look", set("X-Call-Terms", "units=0,spread=2,first=1"), 400},
+		"too many units":    {"look", set("X-Call-Terms", "units=4,spread=2,first=1"), 400},
+		"units twice":       {"look", set("X-Call-Terms", "units=1,units=2,spread=2,first=1"), 400},
+		"spread too wide":   {"look", set("X-Call-Terms", "units=1,spread=3,first=1"), 400},
+		"first of none":     {"look", set("X-Call-Terms", "units=1,spread=2,first=2"), 400},
+		"half the terms":    {"look", set("X-Call-Terms", "units=1"), 400},
+		"body over 64 KiB": {"pay", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", MaxBody+1))), MaxBody+1
+		}, 413},
+		"chunked": {"pay", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", MaxBody+1))), -1
+		}, 400},
+	} {
+		g := testkit.Script(sendTo(1))
+		d := startDoor(t, g, "127.0.0.1:1")
+		testkit.Next[decision.BackendList](t, g)
+		if res, _ := testkit.Do(t, d.ask(t, c.class, c.change)); res.StatusCode != c.status {
+			t.Errorf("%s: %s, want %d", name, res.Status, c.status)
+		}
+		if len(g.Heard) > 0 {
+			t.Errorf("%s: the gateway heard %+v", name, <-g.Heard)
+		}
+		d.stop()
+	}
+}
+
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	d := startDoor(t, testkit.Script(func(ev decision.Event) []decision.Action {
+		if r, ok := ev.(decision.Request); ok {
+			return []decision.Action{decision.Refuse{Request: r.ID, RetryAfter: 250 * time.Millisecond}, decision.Fail{Request: r.ID}}
+		}
+		return nil
+	}))
+	res, _ := testkit.Do(t, d.ask(t, "look", nil))
+	if res.StatusCode != 503 || res.Header.Get("Retry-After") != "0.250" {
+		t.Errorf("%s, Retry-After %q", res.Status, res.Header.Get("Retry-After"))
+	}
+}
+
+// Whatever the gateway does or does not do, a request has an answer before its client's time is up.
+func TestLastMoment(t *testing.T) {
+	g := testkit.Script(nil)
+	d := startDoor(t, g)
+	res, _ := testkit.Do(t, d.ask(t, "look", func(r *http.Request) { r.Header.Set("Request-Timeout", "0.5") }))
+	if res.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("%s, want the last moment's answer", res.Status)
+	}
+	if req := testkit.Next[decision.Request](t, g); req.Patience <= 0 || req.Patience > 500*time.Millisecond-patienceMargin {
+		t.Errorf("the gateway was told of %v", req.Patience)
+	}
+	testkit.Next[decision.ClientGone](t, g)
+}
+
+// A client that closes its connection is gone: the gateway hears of it, and the attempt it calls off is closed.
+func TestClientThatLeaves(t *testing.T) {
+	read, closed := make(chan bool, 1), make(chan bool, 1)
+	addr := testkit.Serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		read <- true
+		<-r.Context().Done()
+		closed <- true
+	})
+	g := testkit.Script(func(ev decision.Event) []decision.Action {
+		switch ev := ev.(type) {
+		case decision.Request:
+			return []decision.Action{decision.Send{Request: ev.ID, Backend: 1}}
+		case decision.ClientGone:
+			return []decision.Action{decision.Cancel{Request: ev.Request, Attempt: 0}, decision.Send{Request: ev.Request, Backend: 1}}
+		}
+		return nil
+	})
+	d := startDoor(t, g, addr)
+	conn, err := net.Dial("tcp", d.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.ask(t, "look", nil).Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Await(t, read, "the attempt")
+	conn.Close()
+	testkit.Next[decision.ClientGone](t, g)
+	if out := testkit.Next[decision.Outcome](t, g); out.Attempt != 1 || out.Result != decision.NotSent || !out.Final {
+		t.Errorf("a send after the end: %+v", out)
+	}
+	if out := testkit.Next[decision.Outcome](t, g); out.Attempt != 0 || out.Result != decision.Cancelled || !out.Final {
+		t.Errorf("the attempt ended as %+v", out)
+	}
+	testkit.Await(t, closed, "the backend's connection to be closed")
+}
+
+// A client that ends only its sending counts as gone too, but it may still read: what it reads must not look
+// like a served answer.
+func TestClientThatEndsItsSending(t *testing.T) {
+	g := testkit.Script(nil)
+	d := startDoor(t, g)
+	conn, err := net.Dial("tcp", d.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := d.ask(t, "look", nil).Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Next[decision.Request](t, g)
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Next[decision.ClientGone](t, g)
+	if res, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil && res.StatusCode < 500 {
+		t.Errorf("it read %s", res.Status)
+	}
+}
+
+// An id that is open already would leave the second request without an answer: the gateway passes over it.
+func TestAnIDThatIsOpen(t *testing.T) {
+	g := testkit.Script(nil)
+	d := startDoor(t, g)
+	first := make(chan int, 1)
+	go func() {
+		res, err := http.DefaultTransport.RoundTrip(d.ask(t, "look", func(r *http.Request) { r.Header.Set("Request-Timeout", "1.5") }))
+		if err != nil {
+			t.Error(err)
+			first <- 0
+			return
+		}
+		res.Body.Close()
+		first <- res.StatusCode
+	}()
+	testkit.Next[decision.Request](t, g)
+	if res, _ := testkit.Do(t, d.ask(t, "look", nil)); res.StatusCode != 400 {
+		t.Errorf("the second of one id: %s", res.Status)
+	}
+	if got := <-first; got != http.StatusGatewayTimeout {
+		t.Errorf("the first: %d", got)
+	}
+}
+
+// A body that is cut midway is no answer: the attempt has failed, and the client is told so.
+func TestACutAnswerIsNotServed(t *testing.T) {
+	d := startDoor(t, nil, testkit.Raw(t, func(_ int, conn net.Conn) {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+		conn.Close()
+	}))
+	if res, body := testkit.Do(t, d.ask(t, "pay", nil)); res.StatusCode != http.StatusBadGateway || body != "" {
+		t.Errorf("%s %q", res.Status, body)
+	}
+}
+
+// After SIGTERM clients still come for a while, and what was taken must be answered before the end.
+func TestNothingIsLostAtTheEnd(t *testing.T) {
+	goOn, read := make(chan bool), make(chan bool, 2)
+	d := startDoor(t, nil, testkit.Serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		read <- true
+		<-goOn
+		io.WriteString(w, "done")
+	}))
+	ask := func(id string) chan *http.Response {
+		c := make(chan *http.Response, 1)
+		go func() {
+			res, err := (&http.Transport{}).RoundTrip(d.ask(t, "look", func(r *http.Request) { r.Header.Set("Request-Id", id) }))
+			if err != nil {
+				t.Error(err)
+			} else {
+				res.Body.Close()
+			}
+			c <- res
+		}()
+		return c
+	}
+	held := ask("00000000000000a1")
+	testkit.Await(t, read, "the first request")
+	d.stop()
+	late := ask("00000000000000a2") // on a new connection
+	testkit.Await(t, read, "the request that came after SIGTERM")
+	select {
+	case err := <-d.done:
+		t.Fatalf("ended with two requests open: %v", err)
+	case <-time.After(800 * time.Millisecond):
+	}
+	close(goOn)
+	for name, c := range map[string]chan *http.Response{"held": held, "late": late} {
+		if res := <-c; res == nil || res.StatusCode != 200 || name == "late" && !res.Close {
+			t.Errorf("%s: %+v", name, res)
+		}
+	}
+	select {
+	case err := <-d.done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(testkit.Patient):
+		t.Error("it never ended")
+	}
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// Whoever sends no whole request must not hold a connection for long: it is owed an end within 3 s.
+func TestUnfinishedRequestsAreEnded(t *testing.T) {
+	head := "POST /pay HTTP/1.1\r\nHost: h\r\nRequest-Id: 9b1f03aa5c7e2d41\r\nRequest-Class: pay\r\nX-Tier: basic\r\n" +
+		"X-Api-Key: 00000000b4d65521\r\nRequest-Timeout: 20\r\nIdempotency-Key: k\r\nX-Call-Terms: units=1,spread=2,first=1\r\n"
+	g := testkit.Script(nil)
+	d := startDoor(t, g)
+	testkit.Next[decision.BackendList](t, g)
+	ends := make(chan string)
+	for name, text := range map[string]string{
+		"silent":       "",
+		"half a head":  head,
+		"half a body":  head + "Content-Length: 9\r\n\r\nhalf",
+		"a large body": head + "Content-Length: 60000000\r\n\r\nhalf",
+	} {
+		c := dial(t, d.addr)
+		io.WriteString(c, text)
+		go func() {
+			start := time.Now()
+			said := testkit.UntilEnd(t, c)
+			if took := time.Since(start); took > 2900*time.Millisecond || said != "" && !strings.HasPrefix(said, "HTTP/1.1 4") {
+				t.Errorf("%s: after %v %q", name, took, said)
+			}
+			ends <- name
+		}()
+	}
+	for range 4 {
+		<-ends
+	}
+	if len(g.Heard) > 0 {
+		t.Errorf("the gateway heard %+v", <-g.Heard)
+	}
+}
+
+// A request that can be framed in two ways may hide another in its body. The server drops one of the two headers
+// before a handler sees them, so the one left must be enough to turn it away.
+func TestTwoFramingsAreTurnedAway(t *testing.T) {
+	g := testkit.Script(nil)
+	d := startDoor(t, g)
+	testkit.Next[decision.BackendList](t, g)
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		c := dial(t, d.addr)
+		io.WriteString(c, "POST /pay "+proto+"\r\nHost: h\r\nRequest-Id: 9b1f03aa5c7e2d41\r\nRequest-Class: pay\r\nX-Tier: basic\r\n"+
+			"X-Api-Key: 00000000b4d65521\r\nRequest-Timeout: 20\r\nIdempotency-Key: k\r\nX-Call-Terms: units=1,spread=2,first=1\r\n"+
+			"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+		if said := testkit.UntilEnd(t, c); !strings.Contains(said, " 400 ") {
+			t.Errorf("%s: %q", proto, said)
+		}
+	}
+	if len(g.Heard) > 0 {
+		t.Errorf("the gateway heard %+v", <-g.Heard)
+	}
+}
+
+// A connection that has gone silent takes a request and never answers, while its backend serves all others at once.
+// The request must be served by another backend long before its client gives up, the silent connection closed, and
+// what is keyed must not leave the cell that drops its repeats.
+func TestARequestOnASilentConnectionIsServedElsewhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		class  string
+		block  int // of the second backend; the first one's is 0
+		served bool
+	}{
+		"safe":                  {"look", 1, true},
+		"keyed, in the cell":    {"pay", 0, true},
+		"keyed, no other there": {"pay", 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var silent atomic.Bool
+			var asked atomic.Int64 // attempts since then
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				if silent.Load() && asked.Add(1) == 1 {
+					<-r.Context().Done()
+					return
+				}
+				io.WriteString(w, "ok")
+			}
+			list := ready(testkit.Serve(t, handler), testkit.Serve(t, handler))
+			list.Nodes[1].Cell = c.block
+			d := startDoor(t, nil)
+			d.door.Update(list)
+			ask := func(id int, timeout string) (*http.Response, string) {
+				return testkit.Do(t, d.ask(t, c.class, func(r *http.Request) {
+					r.Header.Set("Request-Id", fmt.Sprintf("%016x", id))
+					r.Header.Set("Request-Timeout", timeout)
+				}))
+			}
+			for id := range 200 { // so that the gateway knows how long an answer takes
+				if res, _ := ask(id, "20.5"); res.StatusCode != http.StatusOK {
+					t.Fatalf("an ordinary request was answered %d", res.StatusCode)
+				}
+			}
+			silent.Store(true)
+			timeout := "3600" // cut to the class's deadline, which is longer than the test's patience
+			if !c.served {
+				timeout = "3"
+			}
+			res, body := ask(1000, timeout)
+			if got := res.StatusCode == http.StatusOK && body == "ok"; got != c.served {
+				t.Errorf("answered %d %q, served: want %v", res.StatusCode, body, c.served)
+			}
+			if want := int64(1 + b2i(c.served)); asked.Load() != want {
+				t.Errorf("%d attempts were made, want %d", asked.Load(), want)
+			}
+		})
+	}
+}
+
+// A backend that left one attempt unanswered for long, and that may well be the connection's fault, must be tried again
+// within seconds: it would else be shunned for as long as the silence was long against an ordinary answer.
+func TestABackendThatWasSilentIsTriedAgain(t *testing.T) {
+	t.Parallel()
+	var hung atomic.Int64 // which backend keeps silent, from 1
+	var tried atomic.Int64
+	handler := func(me int64) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			if hung.Load() == -1 {
+				hung.Store(me)
+				<-r.Context().Done()
+				return
+			}
+			if hung.Load() == me {
+				tried.Add(1)
+			}
+			io.WriteString(w, "ok")
+		}
+	}
+	list := ready(testkit.Serve(t, handler(1)), testkit.Serve(t, handler(2)))
+	list.Nodes[1].Cell = 1 // so that a keyed attempt can't be made elsewhere
+	d := startDoor(t, nil)
+	d.door.Update(list)
+	ask := func(id int, timeout string) int {
+		res, _ := testkit.Do(t, d.ask(t, "pay", func(r *http.Request) {
+			r.Header.Set("Request-Id", fmt.Sprintf("%016x", id))
+			r.Header.Set("Request-Timeout", timeout)
+		}))
+		return res.StatusCode
+	}
+	id := 0
+	for ; id < 200; id++ {
+		if status := ask(id, "20.5"); status != http.StatusOK {
+			t.Fatalf("an ordinary request was answered %d", status)
+		}
+	}
+	hung.Store(-1)
+	if status := ask(id, "1"); status == http.StatusOK {
+		t.Fatal("a request that was not answered was served")
+	}
+	for end := time.Now().Add(testkit.Patient); tried.Load() == 0; id++ {
+		if time.Now().After(end) {
+			t.Fatalf("backend %d, silent once, is not tried again in %v", hung.Load(), testkit.Patient)
+		}
+		time.Sleep(5 * time.Millisecond) // so that the customer stays within its quota
+		if status := ask(id+1, "20.5"); status != http.StatusOK {
+			t.Fatalf("an ordinary request was answered %d", status)
+		}
+	}
+}
+
+// Answers that tell a customer's use out of order tell one period more than once. A customer that stays within its
+// quota, by its own count and by every reading, must not be refused for that.
+func TestReadingsOutOfOrderRefuseNobody(t *testing.T) {
+	t.Parallel()
+	var asked atomic.Int64
+	d := startDoor(t, nil, testkit.Serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-RateLimit-Used", fmt.Sprint(40+asked.Add(1)%2))
+		io.WriteString(w, "ok")
+	}))
+	pace := time.NewTicker(260 * time.Millisecond) // a little over half the meter's period
+	defer pace.Stop()
+	for id := range 34 {
+		<-pace.C
+		res, _ := testkit.Do(t, d.ask(t, "look", func(r *http.Request) {
+			r.Header.Set("Request-Id", fmt.Sprintf("%016x", id))
+			r.Header.Set("X-Tier", "tiny")
+			r.Header.Set("X-Call-Terms", "units=0.05,spread=1,first=0") // 0.19 units a second of 0.5
+		}))
+		if res.StatusCode != http.StatusOK {
+			t.Fatalf("request %d was answered %d", id, res.StatusCode)
+		}
+	}
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,62 @@
+package pumicecroft
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"pumicecroft/internal/core"
+)
+
+// How a request ends without an answer to pass on. Test with errors.Is.
+var (
+	// ErrRefused: no attempt has run, or running again is harmless; the caller may try again. The error is a
+	// *RefusedError.
+	ErrRefused = errors.New("pumicecroft: refused")
+	// ErrFailed: it may have run, and promises nothing.
+	ErrFailed = errors.New("pumicecroft: failed")
+	// ErrLate is an ErrFailed too: the time was up before there was any other answer.
+	ErrLate = fmt.Errorf("%w: its time was up", ErrFailed)
+	// ErrAborted is an ErrFailed too: Close was not given the time to let the request end.
+	ErrAborted = fmt.Errorf("%w: the door was closed", ErrFailed)
+	// ErrClosed is an ErrRefused too: the Door takes nothing any more.
+	ErrClosed = fmt.Errorf("%w: the door is closed", ErrRefused)
+	// ErrBusy is an ErrRefused too: MaxOpen requests are open.
+	ErrBusy = fmt.Errorf("%w: as many requests as may be are open", ErrRefused)
+
+	// ErrBadRequest: the request makes no sense to this Door; nothing was decided and nothing sent.
+	ErrBadRequest = errors.New("pumicecroft: bad request")
+	// ErrTooLarge is an ErrBadRequest too: the body is over the limit.
+	ErrTooLarge = fmt.Errorf("%w: the body is over %d KiB", ErrBadRequest, MaxBody>>10)
+	// ErrOpenID is an ErrBadRequest too: a request with this id is open.
+	ErrOpenID = fmt.Errorf("%w: a request with this id is open", ErrBadRequest)
+	// ErrReplayed is an ErrFailed too: a request with this id, of a class that must not be repeated at will, was
+	// here a short while ago and may have run. A host that runs its handlers again sees it, in place of a second
+	// effect.
+	ErrReplayed = fmt.Errorf("%w: a request with this id may have run already", ErrFailed)
+
+	// ErrConfig: New was given what it cannot work with.
+	ErrConfig = errors.New("pumicecroft: bad configuration")
+	// ErrDoorTaken: another Door of the deployment has this number.
+	ErrDoorTaken = errors.New("pumicecroft: the number belongs to another door of this deployment")
+)
+
+// RefusedError is an ErrRefused that may say when to come back.
+type RefusedError struct {
+	RetryAfter time.Duration // 0: no advice
+}
+
+// Error tells the advice too.
+func (e *RefusedError) Error() string {
+	if e.RetryAfter > 0 {
+		return fmt.Sprintf("%v, come back in %v", ErrRefused, e.RetryAfter)
+	}
+	return ErrRefused.Error()
+}
+
+// Is makes it an ErrRefused.
+func (e *RefusedError) Is(target error) bool { return target == ErrRefused }
+
+// notLetIn are the errors for requests that the core did not let in.
+var notLetIn = map[error]error{core.ErrOpen: ErrOpenID, core.ErrReplayed: ErrReplayed, core.ErrFull: ErrBusy,
+	core.ErrClosed: ErrClosed}
--- /dev/null
+++ b/internal/drive/drive.go
@@ -0,0 +1,390 @@
+// Package drive runs one core under the system's clock: it lets events in one after another, under one lock, and
+// carries out the effects. Attempts are made by a Carrier. Nothing that happens under the lock waits for I/O.
+//
+// A request is served by its caller's own goroutine, which also makes its attempts one after another; only an
+// attempt that runs beside another, or a probe, has a goroutine of its own.
+package drive
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/core"
+)
+
+// origin is how far before the driver's start its clock begins, so that a backend's start before ours is still a
+// time above 0. One that started even earlier started long ago.
+const origin = 24 * time.Hour
+
+// Clock turns times into the core's: durations since origin, by the monotonic clock.
+type Clock struct{ start time.Time }
+
+// NewClock starts a clock.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// Now is the present on the core's clock.
+func (c Clock) Now() time.Duration { return origin + time.Since(c.start) }
+
+// At is the system's time for one of the core's.
+func (c Clock) At(d time.Duration) time.Time { return c.start.Add(d - origin) }
+
+// Unix turns a wall-clock time into the core's; the zero time stays "long ago", as does all before origin.
+func (c Clock) Unix(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return max(0, origin+t.Round(0).Sub(c.start.Round(0)))
+}
+
+// Reply is how an attempt ended and, if it was answered, with what.
+type Reply struct {
+	core.Outcome
+	Body any // the carrier's; it goes to the caller of Serve untouched
+}
+
+// Carrier makes attempts. Carry makes one and returns when it has ended; it never makes it twice. It must end
+// soon once the attempt is called off. Carry and Probe are called without a lock held, by many goroutines at once.
+type Carrier interface {
+	Carry(a *Attempt) Reply
+	Probe(id decision.BackendID, timeout time.Duration) decision.ProbeResult
+}
+
+// Attempt is one attempt that a Carrier makes.
+type Attempt struct {
+	Backend decision.BackendID
+	Due     time.Time // it is called off then
+	Load    any       // what Serve was given
+
+	call   *call
+	number int
+	mu     sync.Mutex
+	off    error  // why it was called off
+	stop   func() // ends the wait that the carrier is in
+}
+
+// Why an attempt was called off.
+var (
+	ErrCalledOff = errors.New("the attempt was called off")
+	ErrTimeUp    = errors.New("the attempt's time is up")
+)
+
+// NewAttempt makes an attempt that belongs to no request, as probes and tests do.
+func NewAttempt(id decision.BackendID, due time.Time, load any) *Attempt {
+	return &Attempt{Backend: id, Due: due, Load: load}
+}
+
+// CallOff ends the wait for an attempt, for one of the reasons above.
+func (a *Attempt) CallOff(why error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.off != nil {
+		return
+	}
+	a.off = why
+	if a.stop != nil {
+		a.stop()
+	}
+}
+
+// Off tells why the attempt was called off, or nil.
+func (a *Attempt) Off() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.off
+}
+
+// Wait names what ends the wait that the carrier is about to begin; nil: it waits no more. If the attempt is
+// called off already it is not kept, and the reason comes back. stop runs once at most, under a lock of the
+// attempt: it must not wait.
+func (a *Attempt) Wait(stop func()) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.off == nil {
+		a.stop = stop
+	}
+	return a.off
+}
+
+// Unless runs do if the attempt is not called off, and keeps it from being so meanwhile. do must not wait.
+func (a *Attempt) Unless(do func()) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.off == nil {
+		do()
+	}
+	return a.off
+}
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Verdict    core.Verdict
+	RetryAfter time.Duration // of a refusal; 0: no advice
+	Reply      Reply         // of a served request
+	Attempts   int           // that were made
+}
+
+// call is a request that is being served.
+type call struct {
+	id      decision.RequestID
+	load    any
+	inline  bool      // the serving goroutine makes the attempts
+	busy    bool      // it is making one
+	waiting bool      // it waits on wake
+	wake    chan bool // holds one
+	done    bool      // answer is there
+	answer  Answer
+	todo    []*Attempt  // for the serving goroutine
+	tries   []*Attempt  // all
+	first   Attempt     // the room of the first one
+	room    [1]*Attempt // of tries
+	work    [1]*Attempt // of todo
+}
+
+// Driver runs one core. It is safe for concurrent use.
+type Driver struct {
+	clock   Clock
+	carrier Carrier
+	inline  bool
+
+	mu     sync.Mutex
+	core   *core.Core
+	timer  *time.Timer
+	at     time.Duration // when the timer comes
+	idle   chan struct{} // closed when nothing is open, if somebody waits for that
+	ended  bool          // by Stop
+	probes int           // that are out
+}
+
+// New starts a driver. canCancel tells whether the decision module calls attempts off whose request has ended; if
+// not, each attempt has a goroutine of its own, so that none holds back its request's answer.
+func New(clock Clock, c *core.Core, carrier Carrier, canCancel bool) *Driver {
+	return &Driver{clock: clock, core: c, carrier: carrier, inline: canCancel}
+}
+
+// Clock is the driver's clock.
+func (d *Driver) Clock() Clock { return d.clock }
+
+// step lets one event in and carries out what comes of it.
+func (d *Driver) step(event func(now time.Duration) []core.Effect) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.carryOut(event(d.clock.Now()))
+}
+
+// List passes on news of the backends.
+func (d *Driver) List(list decision.BackendList) {
+	d.step(func(now time.Duration) []core.Effect { return d.core.List(now, list) })
+}
+
+// Serve passes a request to the core and waits for its final answer. last is how long from now it may take at
+// the most. When ctx ends first, the request ends as Left, and what is out for it is called off. An error means
+// that the request was not let in.
+func (d *Driver) Serve(ctx context.Context, req decision.Request, last time.Duration, load any) (Answer, error) {
+	k := &call{id: req.ID, load: load, inline: d.inline, wake: make(chan bool, 1)}
+	k.tries, k.todo = k.room[:0], k.work[:0]
+	d.mu.Lock()
+	effects, err := d.core.Arrive(d.clock.Now(), k, req, last)
+	d.carryOut(effects)
+	if err != nil {
+		d.mu.Unlock()
+		return Answer{}, err
+	}
+	if !k.done {
+		d.mu.Unlock()
+		stop := context.AfterFunc(ctx, func() { d.leave(k) })
+		defer stop()
+		d.mu.Lock()
+	}
+	for {
+		if len(k.todo) > 0 {
+			a := k.todo[0]
+			k.todo = k.todo[:copy(k.todo, k.todo[1:])]
+			k.busy = true
+			d.mu.Unlock()
+			r := d.carry(a)
+			d.mu.Lock()
+			k.busy = false
+			d.end(a, r)
+			continue
+		}
+		if k.done {
+			answer := k.answer
+			d.mu.Unlock()
+			return answer, nil
+		}
+		k.waiting = true
+		d.mu.Unlock()
+		<-k.wake
+		d.mu.Lock()
+	}
+}
+
+// carry makes an attempt, unless it was called off before it began.
+func (d *Driver) carry(a *Attempt) Reply {
+	if a.Off() != nil {
+		return Reply{Outcome: core.Outcome{Result: decision.NotSent}}
+	}
+	return d.carrier.Carry(a)
+}
+
+// end tells of an attempt's end; it wants the lock.
+func (d *Driver) end(a *Attempt, r Reply) {
+	k := a.call
+	if !k.done && r.Result == decision.Answered {
+		k.answer.Reply = r // kept if the core says that it is served
+	}
+	d.carryOut(d.core.Ended(d.clock.Now(), k.id, a.number, r.Outcome))
+}
+
+func (d *Driver) leave(k *call) {
+	d.step(func(now time.Duration) []core.Effect { return d.core.Leave(now, k, k.id) })
+}
+
+// carryOut does what the core asks for, in order; it wants the lock.
+func (d *Driver) carryOut(effects []core.Effect) {
+	for i := range effects {
+		e := &effects[i]
+		switch e.Kind {
+		case core.Start:
+			d.start(e)
+		case core.CallOff:
+			why := ErrCalledOff
+			if e.TimedOut {
+				why = ErrTimeUp
+			}
+			e.Tag.(*call).tries[e.Attempt].CallOff(why)
+		case core.Final:
+			k := e.Tag.(*call)
+			k.done, k.answer.Verdict, k.answer.RetryAfter = true, e.Verdict, e.RetryAfter
+			if e.Verdict != core.Served {
+				k.answer.Reply = Reply{}
+			}
+			k.rouse()
+		case core.Probe:
+			d.probes++
+			go d.probe(e.Backend, d.probes <= mostProbes)
+		case core.Subscribe: // whoever supplies the list does so anyway
+		}
+	}
+	d.arm()
+	if d.idle != nil && d.core.Open() == 0 {
+		close(d.idle)
+		d.idle = nil
+	}
+}
+
+const (
+	probeTimeout = time.Second
+	mostProbes   = 64 // that are out at once; one more ends as not sent
+)
+
+func (d *Driver) probe(id decision.BackendID, may bool) {
+	p := decision.ProbeResult{Backend: id, Result: decision.NotSent}
+	if may {
+		p = d.carrier.Probe(id, probeTimeout)
+	}
+	d.step(func(now time.Duration) []core.Effect {
+		d.probes--
+		return d.core.Probed(now, p)
+	})
+}
+
+func (d *Driver) start(e *core.Effect) {
+	k := e.Tag.(*call)
+	a := &k.first
+	if len(k.tries) > 0 {
+		a = &Attempt{}
+	}
+	a.Backend, a.Due, a.Load, a.call, a.number = e.Backend, d.clock.At(e.Due), k.load, k, e.Attempt
+	for len(k.tries) < e.Attempt { // numbers of attempts that the core did not make
+		k.tries = append(k.tries, nil)
+	}
+	k.tries = append(k.tries, a)
+	k.answer.Attempts++
+	if k.inline && !k.busy && len(k.todo) == 0 {
+		k.todo = append(k.todo, a)
+		k.rouse()
+		return
+	}
+	go func() {
+		r := d.carry(a)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.end(a, r)
+	}()
+}
+
+func (k *call) rouse() {
+	if k.waiting {
+		k.waiting = false
+		k.wake <- true
+	}
+}
+
+// arm sets the timer for what the core waits for next; it wants the lock.
+func (d *Driver) arm() {
+	at, ok := d.core.Next()
+	switch {
+	case !ok || d.ended:
+		if d.timer != nil {
+			d.timer.Stop()
+		}
+		d.at = 0
+	case at == d.at:
+	case d.timer == nil:
+		d.at = at
+		d.timer = time.AfterFunc(time.Until(d.clock.At(at)), d.tick)
+	default:
+		d.at = at
+		d.timer.Reset(time.Until(d.clock.At(at)))
+	}
+}
+
+func (d *Driver) tick() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.at = 0
+	d.carryOut(d.core.Tick(d.clock.Now()))
+}
+
+// Open is how many requests the core keeps.
+func (d *Driver) Open() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Open()
+}
+
+// Drain lets no further request in and waits until none is open, or ctx ends. It tells how many were owed an
+// answer then.
+func (d *Driver) Drain(ctx context.Context) (owed int) {
+	d.mu.Lock()
+	d.core.Close()
+	if d.core.Open() == 0 {
+		d.mu.Unlock()
+		return 0
+	}
+	if d.idle == nil {
+		d.idle = make(chan struct{})
+	}
+	idle := d.idle
+	d.mu.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Owed()
+}
+
+// Stop ends all that is still open, each with its final answer, and the driver's timer. Nothing is let in
+// afterwards; attempts that are called off end by themselves.
+func (d *Driver) Stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = true
+	d.carryOut(d.core.Abort(d.clock.Now()))
+}
--- /dev/null
+++ b/internal/httpback/backends.go
@@ -0,0 +1,230 @@
+// Package httpback makes attempts at backends over HTTP/1.1, as PROTOCOL has it: over kept connections, each
+// attempt once and never again by itself, with a result that claims no more than what was seen proves. It decides
+// nothing. backends.go keeps who the backends are, exchange.go is one attempt, pool.go keeps the connections.
+package httpback
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/drive"
+	"pumicecroft/membership"
+
+	"golang.org/x/time/rate"
+)
+
+// MaxBody is the protocol's most for a body, of a request or an answer, in bytes.
+const MaxBody = 64 << 10
+
+// A kept connection is dropped when it has been idle for this share of the time after which the backend may
+// close it: a request that crosses the close may have run.
+const idleShare = 0.6
+
+// Config says how backends are reached.
+type Config struct {
+	Conns       int           // connections to all backends together, idle ones among them
+	Idle        time.Duration // a backend closes a connection that was idle for this long
+	Connect     time.Duration // a connection that is not up by then counts as failed
+	LoadColumns []string      // the settings' names of load figures; none: there are no load reports
+	Log         *slog.Logger
+	Dial        func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the system's
+}
+
+// Request is a client's request as it goes on to a backend, with each attempt. What it holds must be fit for the
+// wire: see Check.
+type Request struct {
+	Method      string
+	Target      string // path and query as they came
+	Host        string
+	ID          uint64 // Request-Id
+	HasID       bool
+	Key         string // Idempotency-Key; empty: none
+	ContentType string
+	Body        []byte
+}
+
+// Answer is what a backend answered.
+type Answer struct {
+	ContentType []string
+	Body        []byte
+}
+
+// backend is one entry of the list of backends. Its fields other than id are guarded by Backends.mu.
+type backend struct {
+	id      decision.BackendID
+	started time.Time
+	state   decision.BackendState
+	place   *place
+}
+
+// Backends sends attempts to the backends that it was told of, over kept connections. It is a drive.Carrier and
+// safe for concurrent use.
+type Backends struct {
+	pool     *pool
+	columns  []string // names of load figures as in the header, in the order of the settings
+	log      *slog.Logger
+	faultLog rate.Sometimes
+
+	mu     sync.Mutex
+	lastID decision.BackendID
+	byName map[string]*backend // until it is gone
+	byID   map[decision.BackendID]*backend
+}
+
+var _ drive.Carrier = (*Backends)(nil)
+
+// columnNames are the header's names for the settings' load figures.
+var columnNames = map[string]string{"concurrent": "inflight", "depth": "queue", "load_share": "util",
+	"mean_ms": "latency_ms", "tps": "qps", "err_ps": "eps"}
+
+// New knows no backends yet.
+func New(c Config) *Backends {
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: c.Connect, KeepAlive: -1}).DialContext
+	}
+	b := &Backends{log: c.Log, faultLog: rate.Sometimes{First: 10, Interval: time.Second},
+		pool:   newPool(dial, c.Conns, time.Duration(idleShare*float64(c.Idle))),
+		byName: map[string]*backend{}, byID: map[decision.BackendID]*backend{}}
+	if b.log == nil {
+		b.log = slog.New(slog.DiscardHandler)
+	}
+	for _, name := range c.LoadColumns {
+		if short, ok := columnNames[name]; ok {
+			name = short
+		}
+		b.columns = append(b.columns, name)
+	}
+	return b
+}
+
+// Update applies news to the list and gives it in the decision module's form. Entries that make no sense are
+// passed over, the rest counts.
+func (b *Backends) Update(list membership.List, c drive.Clock) decision.BackendList {
+	out := decision.BackendList{Kind: decision.ListChanges}
+	switch {
+	case list.Whole && list.Saved:
+		out.Kind = decision.ListSaved
+	case list.Whole:
+		out.Kind = decision.ListFull
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if list.Whole {
+		for _, be := range b.byName {
+			be.state = decision.Gone // unless listed
+		}
+	}
+	for _, n := range list.Nodes {
+		if err := n.Check(); err != nil {
+			b.log.Warn("an entry of the list that makes no sense", "err", err)
+			continue
+		}
+		be := b.byName[n.Name]
+		if be == nil {
+			if n.State == decision.Gone {
+				continue // never named, or forgotten
+			}
+			b.lastID++
+			be = &backend{id: b.lastID}
+			b.byName[n.Name], b.byID[be.id] = be, be
+		}
+		if be.place == nil || be.place.addr != n.Addr && n.Addr != "" || !be.started.Equal(n.Started) {
+			addr := n.Addr
+			if be.place != nil {
+				b.pool.clear(be.place) // its connections lead to what was there before
+				if addr == "" {
+					addr = be.place.addr
+				}
+			}
+			be.place = &place{addr: addr}
+		}
+		be.started, be.state = n.Started, n.State
+		out.Backends = append(out.Backends, decision.BackendInfo{ID: be.id, State: be.state, Zone: n.Zone, Kind: n.Kind,
+			Cell: n.Cell, Started: c.Unix(n.Started), Weight: n.Weight})
+	}
+	for name, be := range b.byName {
+		if be.state == decision.Gone {
+			b.pool.clear(be.place)
+			delete(b.byName, name) // if it comes back it is a new one, to the decision module as well
+			delete(b.byID, be.id)
+		}
+	}
+	return out
+}
+
+// ready gives the place of a backend that may be sent something now, else nil.
+func (b *Backends) ready(id decision.BackendID) *place {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if be := b.byID[id]; be != nil && be.state == decision.Ready {
+		return be.place
+	}
+	return nil
+}
+
+// Close closes the connections that are idle; one in use is closed when its attempt ends.
+func (b *Backends) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, be := range b.byName {
+		b.pool.clear(be.place)
+		delete(b.byName, name)
+		delete(b.byID, be.id)
+	}
+	b.pool.end()
+}
+
+// Probe asks a backend for its health, with its load if there are reports.
+func (b *Backends) Probe(id decision.BackendID, timeout time.Duration) decision.ProbeResult {
+	out := decision.ProbeResult{Backend: id}
+	m := &Request{Method: "GET", Target: "/health"}
+	if len(b.columns) > 0 {
+		m.Target = "/status/load"
+	}
+	start := time.Now()
+	a := drive.NewAttempt(id, start.Add(timeout), m)
+	alarm := time.AfterFunc(timeout, func() { a.CallOff(drive.ErrTimeUp) })
+	defer alarm.Stop()
+	r := b.Carry(a)
+	out.Result, out.Took, out.Load = r.Result, time.Since(start), r.Load
+	if answer, ok := r.Body.(*Answer); ok && len(b.columns) > 0 {
+		out.Load = b.parseLoad(strings.TrimSpace(string(answer.Body)))
+	}
+	return out
+}
+
+// parseLoad reads a load report such as "queue=2,qps=31"; nil if it does not hold all that the settings name.
+func (b *Backends) parseLoad(text string) []float64 {
+	if text == "" || len(b.columns) == 0 {
+		return nil
+	}
+	load := make([]float64, len(b.columns))
+	found := 0
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		for i, column := range b.columns {
+			if name == column {
+				v, err := strconv.ParseFloat(value, 64)
+				if err != nil || !(v >= 0) || v > maxLoad {
+					return nil
+				}
+				load[i] = v
+				found++
+			}
+		}
+	}
+	if found != len(load) {
+		return nil
+	}
+	return load
+}
+
+// maxLoad is over any figure that a report could hold.
+const maxLoad = 1e300
--- /dev/null
+++ b/internal/httpback/backends_test.go
@@ -0,0 +1,476 @@
+package httpback
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/drive"
+	"pumicecroft/internal/testkit"
+	"pumicecroft/membership"
+)
+
+func config() Config {
+	return Config{Conns: 426, Idle: 15 * time.Second, Connect: 250 * time.Millisecond, LoadColumns: []string{"depth", "tps"}}
+}
+
+func ready(addrs ...string) membership.List {
+	list := membership.List{Whole: true}
+	for i, addr := range addrs {
+		list.Nodes = append(list.Nodes, membership.Node{Name: fmt.Sprintf("s-%d", i), Addr: addr, Weight: 1})
+	}
+	return list
+}
+
+func attempts(t *testing.T, addr string) (*Backends, decision.BackendID) {
+	t.Helper()
+	b := New(config())
+	t.Cleanup(b.Close)
+	return b, b.Update(ready(addr), drive.NewClock()).Backends[0].ID
+}
+
+// send makes one attempt that is called off when ctx ends.
+func send(b *Backends, ctx context.Context, id decision.BackendID, m *Request) drive.Reply {
+	due, ok := ctx.Deadline()
+	if !ok {
+		due = time.Now().Add(testkit.Patient)
+	}
+	a := drive.NewAttempt(id, due, m)
+	stop := context.AfterFunc(ctx, func() {
+		if ctx.Err() == context.DeadlineExceeded {
+			a.CallOff(drive.ErrTimeUp)
+		} else {
+			a.CallOff(drive.ErrCalledOff)
+		}
+	})
+	defer stop()
+	return b.Carry(a)
+}
+
+func text(r drive.Reply) string {
+	if a, ok := r.Body.(*Answer); ok {
+		return string(a.Body)
+	}
+	return ""
+}
+
+var lookMessage = &Request{Method: http.MethodGet, Target: "/look", Host: "origin.svc", ID: 0x9b1f03aa5c7e2d41, HasID: true}
+
+var payMessage = &Request{Method: http.MethodPost, Target: "/pay", Host: "origin.svc", ID: 0x9b1f03aa5c7e2d42, HasID: true,
+	Key: "k", Body: []byte("amount=3")}
+
+const okReply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// A client library may send a GET, and a POST with an Idempotency-Key, again by itself when a kept connection
+// turns out dead. Such a copy is an attempt that the gateway knows nothing of.
+func TestNothingIsSentAgainOnADeadConnection(t *testing.T) {
+	for name, m := range map[string]*Request{"GET": lookMessage, "keyed POST": payMessage} {
+		var seen atomic.Int64
+		addr := testkit.Raw(t, func(n int, conn net.Conn) {
+			seen.Add(1)
+			if n == 1 {
+				io.WriteString(conn, okReply)
+			} else {
+				conn.Close() // read whole, never answered
+			}
+		})
+		b, id := attempts(t, addr)
+		ctx, cancel := context.WithTimeout(t.Context(), testkit.Patient)
+		defer cancel()
+		if r := send(b, ctx, id, m); r.Result != decision.Answered {
+			t.Fatalf("%s: first attempt ended as %v", name, r.Result)
+		}
+		time.Sleep(2 * restTime) // so that the second takes the same connection
+		if r := send(b, ctx, id, m); r.Result != decision.Broken {
+			t.Errorf("%s: on a connection that broke the attempt ended as %v, want Broken", name, r.Result)
+		}
+		if n := seen.Load(); n != 2 {
+			t.Errorf("%s: the backend read %d requests, 2 were sent", name, n)
+		}
+	}
+}
+
+// What an attempt's end proves decides whether a request may be tried again or refused.
+func TestHowAttemptsEnd(t *testing.T) {
+	reply := func(status int, header ...string) func(int, net.Conn) {
+		return func(_ int, conn net.Conn) {
+			res := &http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{},
+				ContentLength: 2, Body: io.NopCloser(strings.NewReader("ok"))}
+			for i := 0; i+1 < len(header); i += 2 {
+				res.Header.Set(header[i], header[i+1])
+			}
+			res.Write(conn)
+		}
+	}
+	cut := func(s string) func(int, net.Conn) {
+		return func(_ int, conn net.Conn) {
+			io.WriteString(conn, s)
+			conn.Close()
+		}
+	}
+	open := func(s string) func(int, net.Conn) { // and the connection stays open
+		return func(_ int, conn net.Conn) { io.WriteString(conn, s) }
+	}
+	for name, c := range map[string]struct {
+		answer func(int, net.Conn)
+		want   decision.Result
+	}{
+		"served":               {reply(200), decision.Answered},
+		"error":                {reply(500), decision.AnsweredErr},
+		"not found":            {reply(404), decision.AnsweredErr},
+		"turned away with 503": {reply(503, "Not-Started", "1"), decision.Refused},
+		"turned away with 504": {reply(504, "Not-Started", "1"), decision.Refused},
+		"503 without proof":    {reply(503), decision.AnsweredErr},
+		"504 that denies it":   {reply(504, "Not-Started", "0"), decision.AnsweredErr},
+		"500 never proves it":  {reply(500, "Not-Started", "1"), decision.AnsweredErr},
+		"connection ends":      {cut(""), decision.Broken},
+		"connection reset": {func(_ int, conn net.Conn) {
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}, decision.Broken},
+		// A spoilt answer may have run, and says nothing bad of the backend: as Broken it would be held back and
+		// taken for one that has restarted.
+		"body cut midway":     {cut("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), decision.Unknown},
+		"head cut midway":     {cut("HTTP/1.1 20"), decision.Unknown},
+		"not HTTP":            {cut("\x00\x01garbage\r\n\r\n"), decision.Unknown},
+		"body never ends":     {open("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), decision.Unknown},
+		"head never ends":     {open("HTTP/1.1 200 OK\r\nA: b\r\n"), decision.Unknown},
+		"head over the limit": {open("HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", maxHead)), decision.Unknown},
+		"3 GB announced":      {open("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok"), decision.Unknown},
+		"two lengths":         {open("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok"), decision.Unknown},
+		"negative length":     {open("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"), decision.Unknown},
+		"no length":           {cut("HTTP/1.1 200 OK\r\n\r\nok"), decision.Unknown},
+		"bad chunks":          {open("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok"), decision.Unknown},
+		"chunks over the limit": {open("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			strings.Repeat("8000\r\n"+strings.Repeat("x", 0x8000)+"\r\n", 3)), decision.Unknown},
+		"1xx without end":         {open(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxHead/20)), decision.Unknown},
+		"1xx ahead":               {open("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + okReply), decision.Answered},
+		"switch":                  {open("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"), decision.Unknown},
+		"chunks":                  {open("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), decision.Answered},
+		"largest body":            {open("HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", MaxBody)), decision.Answered},
+		"absurd use":              {reply(200, "X-RateLimit-Used", "1e300", "Server-Load", "queue=-5,qps=1"), decision.Answered},
+		"use below 0":             {reply(200, "X-RateLimit-Used", "-3", "Server-Load", "queue=NaN,qps=1"), decision.Answered},
+		"unreadable use and load": {reply(200, "X-RateLimit-Used", "lots", "Server-Load", "queue=x,qps="), decision.Answered},
+	} {
+		b, id := attempts(t, testkit.Raw(t, c.answer))
+		ctx, cancel := context.WithTimeout(t.Context(), testkit.Patient)
+		if r := send(b, ctx, id, payMessage); r.Result != c.want || r.HasUse || r.Load != nil {
+			t.Errorf("%s: %v, want %v; use %v, load %v", name, r.Result, c.want, r.HasUse, r.Load)
+		}
+		cancel()
+	}
+}
+
+func TestNoConnectionIsToldFromNoAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close() // nobody listens there now
+	b, id := attempts(t, ln.Addr().String())
+	if r := send(b, t.Context(), id, payMessage); r.Result != decision.NoConnection {
+		t.Errorf("refused connection: %v", r.Result)
+	}
+	silent := func(_ int, _ net.Conn) { <-t.Context().Done() }
+	b, id = attempts(t, testkit.Raw(t, silent))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if r := send(b, ctx, id, payMessage); r.Result != decision.TimedOut {
+		t.Errorf("no answer in time: %v", r.Result)
+	}
+	read := make(chan bool, 1)
+	b, id = attempts(t, testkit.Raw(t, func(int, net.Conn) { read <- true; <-t.Context().Done() }))
+	ctx, cancel = context.WithCancel(t.Context())
+	go func() { <-read; cancel() }()
+	if r := send(b, ctx, id, payMessage); r.Result != decision.Cancelled {
+		t.Errorf("called off: %v", r.Result)
+	}
+}
+
+// The gateway wants the customer's use in percent as the header has it, and the load in the settings' order.
+func TestReadings(t *testing.T) {
+	b, id := attempts(t, testkit.Serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-RateLimit-Used", "85")
+		w.Header().Set("Server-Load", "qps=31.5, queue=2,new=7")
+	}))
+	r := send(b, t.Context(), id, lookMessage)
+	if !r.HasUse || r.Use != 85 || !slices.Equal(r.Load, []float64{2, 31.5}) {
+		t.Errorf("use %v %v, load %v", r.HasUse, r.Use, r.Load)
+	}
+}
+
+// A connection can take long to come up. If the backend drains or the request ends meanwhile, nothing may be
+// written to it any more, and the attempt is known never to have run.
+func TestStaleAttemptsAreNotWritten(t *testing.T) {
+	for name, warm := range map[string]bool{"new connection": false, "second attempt": true} {
+		got := make(chan int, 10)
+		addr := testkit.Raw(t, func(n int, conn net.Conn) {
+			got <- n
+			io.WriteString(conn, okReply)
+		})
+		b := New(config())
+		dialing, goOn := make(chan bool, 1), make(chan bool)
+		dial := b.pool.dial
+		b.pool.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			dialing <- true
+			<-goOn
+			return dial(ctx, network, addr)
+		}
+		list := ready(addr)
+		id := b.Update(list, drive.NewClock()).Backends[0].ID
+		if warm { // the drain is told between two attempts
+			go func() { <-dialing; goOn <- true }()
+			send(b, t.Context(), id, lookMessage)
+			<-got
+			list.Nodes[0].State = decision.Draining
+			b.Update(list, drive.NewClock())
+		} else {
+			go func() {
+				<-dialing
+				list.Nodes[0].State = decision.Draining
+				b.Update(list, drive.NewClock())
+				goOn <- true
+			}()
+		}
+		if r := send(b, t.Context(), id, lookMessage); r.Result != decision.NotSent {
+			t.Errorf("%s: to a draining backend: %v, want NotSent", name, r.Result)
+		}
+		select {
+		case n := <-got:
+			t.Errorf("%s: the backend read request %d", name, n)
+		default:
+		}
+	}
+}
+
+// A backend may close a connection that was idle for the settings' time, and a request that crosses the close
+// is lost; so this side closes first. A new process or address takes no request on the old one's connections.
+func TestKeptConnections(t *testing.T) {
+	conns, closed := make(chan bool, 10), make(chan bool, 10)
+	s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		ConnState: func(_ net.Conn, st http.ConnState) {
+			switch st {
+			case http.StateNew:
+				conns <- true
+			case http.StateClosed:
+				closed <- true
+			}
+		}}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(ln)
+	t.Cleanup(func() { s.Close() })
+	c := config()
+	b := New(c)
+	list := ready(ln.Addr().String())
+	id := b.Update(list, drive.NewClock()).Backends[0].ID
+	for range 5 {
+		if r := send(b, t.Context(), id, lookMessage); r.Result != decision.Answered {
+			t.Fatal(r.Result)
+		}
+		time.Sleep(2 * restTime)
+	}
+	if n := len(conns); n != 1 {
+		t.Errorf("%d connections for 5 attempts, one after another", n)
+	}
+	list.Nodes[0].Started = time.UnixMilli(1) // a new process
+	if again := b.Update(list, drive.NewClock()).Backends[0].ID; again != id {
+		t.Errorf("the host has the id %v, it had %v", again, id)
+	}
+	testkit.Await(t, closed, "the old process's connection to be closed")
+
+	c.Idle = 50 * time.Millisecond
+	b = New(c)
+	id = b.Update(list, drive.NewClock()).Backends[0].ID
+	send(b, t.Context(), id, lookMessage)
+	testkit.Await(t, closed, "the idle connection to be closed")
+}
+
+// The attempts that are out hold sockets, of which a front door may have only so many.
+func TestAttemptsAreBounded(t *testing.T) {
+	read := make(chan bool, 1)
+	addr := testkit.Raw(t, func(int, net.Conn) { read <- true; <-t.Context().Done() })
+	c := config()
+	c.Conns = 1
+	b := New(c)
+	id := b.Update(ready(addr), drive.NewClock()).Backends[0].ID
+	ctx, cancel := context.WithCancel(t.Context())
+	first := make(chan decision.Result)
+	go func() { first <- send(b, ctx, id, lookMessage).Result }()
+	testkit.Await(t, read, "the first attempt")
+	if r := send(b, t.Context(), id, lookMessage); r.Result != decision.NotSent {
+		t.Errorf("one too many: %v, want NotSent", r.Result)
+	}
+	cancel()
+	if r := <-first; r != decision.Cancelled {
+		t.Errorf("the first: %v", r)
+	}
+	addr = testkit.Serve(t, func(http.ResponseWriter, *http.Request) {})
+	id = b.Update(ready(addr), drive.NewClock()).Backends[0].ID
+	if r := send(b, t.Context(), id, lookMessage); r.Result != decision.Answered {
+		t.Errorf("with none out: %v", r.Result)
+	}
+}
+
+// A dial that fails as this front door has no descriptor left says nothing of the backend.
+func TestOwnShortageIsNotTheBackends(t *testing.T) {
+	b := New(config())
+	b.pool.dial = func(context.Context, string, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+	}
+	id := b.Update(ready("127.0.0.1:1"), drive.NewClock()).Backends[0].ID
+	if r := send(b, t.Context(), id, lookMessage); r.Result != decision.NotSent {
+		t.Errorf("%v, want NotSent", r.Result)
+	}
+}
+
+func TestProbe(t *testing.T) {
+	b, id := attempts(t, testkit.Serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/status/load" {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		io.WriteString(w, "queue=3,qps=9\n")
+	}))
+	if p := b.Probe(id, testkit.Patient); p.Result != decision.Answered || !slices.Equal(p.Load, []float64{3, 9}) {
+		t.Errorf("%+v", p)
+	}
+}
+
+// What comes behind an answer would be read as the answer to the next request on the connection, and a client would
+// be served what was made for another.
+func TestAnUncleanConnectionIsNotUsedAgain(t *testing.T) {
+	for name, surplus := range map[string]string{"second copy": okReply, "noise": "\xb1`bS]1"} {
+		for _, late := range []bool{false, true} {
+			conns := map[net.Conn]bool{}
+			addr := testkit.Raw(t, func(n int, conn net.Conn) {
+				conns[conn] = true
+				if late {
+					io.WriteString(conn, okReply)
+					time.Sleep(restTime / 2)
+					io.WriteString(conn, surplus)
+				} else {
+					io.WriteString(conn, okReply+surplus)
+				}
+			})
+			b, id := attempts(t, addr)
+			for range 3 {
+				if r := send(b, t.Context(), id, lookMessage); r.Result != decision.Answered || text(r) != "ok" {
+					t.Errorf("%s: %v %q", name, r.Result, text(r))
+				}
+				time.Sleep(2 * restTime)
+			}
+			if len(conns) != 3 {
+				t.Errorf("%s: 3 requests on %d connections", name, len(conns))
+			}
+		}
+	}
+}
+
+// One spoilt answer closes its own connection only: the others are as good as before.
+func TestASpoiltAnswerLeavesTheOthers(t *testing.T) {
+	goOn, both := make(chan bool), make(chan bool, 2)
+	addr := testkit.Raw(t, func(n int, conn net.Conn) {
+		if n <= 2 {
+			both <- true
+			<-goOn
+		}
+		if n == 3 {
+			io.WriteString(conn, "noise\r\n\r\n")
+		} else {
+			io.WriteString(conn, okReply)
+		}
+	})
+	b, id := attempts(t, addr)
+	done := make(chan bool, 2)
+	for range 2 {
+		go func() { send(b, t.Context(), id, lookMessage); done <- true }()
+		testkit.Await(t, both, "two requests at once")
+	}
+	close(goOn)
+	testkit.Await(t, done, "the first answer")
+	testkit.Await(t, done, "the second answer")
+	time.Sleep(2 * restTime)
+	if r := send(b, t.Context(), id, lookMessage); r.Result != decision.Unknown {
+		t.Errorf("a spoilt answer ended as %v", r.Result)
+	}
+	b.pool.mu.Lock()
+	defer b.pool.mu.Unlock()
+	if b.pool.count != 1 || b.pool.idle.Len() != 1 {
+		t.Errorf("%d connections, %d idle, want the one that was not spoilt", b.pool.count, b.pool.idle.Len())
+	}
+}
+
+// Backends are replaced all day long: nothing may be kept of one that is gone, and none that comes at its address may
+// be sent anything on its connections, nor bear its id.
+func TestGoneBackendsAreForgotten(t *testing.T) {
+	conns := map[net.Conn]bool{}
+	addr := testkit.Raw(t, func(_ int, conn net.Conn) { conns[conn] = true; io.WriteString(conn, okReply) })
+	b := New(config())
+	ids := map[decision.BackendID]bool{}
+	for i := range 20 {
+		list := membership.List{Nodes: []membership.Node{{Name: "s-" + string(rune('a'+i)), Addr: addr}}}
+		id := b.Update(list, drive.NewClock()).Backends[0].ID
+		ids[id] = true
+		if r := send(b, t.Context(), id, lookMessage); r.Result != decision.Answered {
+			t.Fatal(r.Result)
+		}
+		if i > 0 { // the next one is there before the last is gone
+			list.Nodes[0].Name, list.Nodes[0].State = "s-"+string(rune('a'+i-1)), decision.Gone
+			b.Update(list, drive.NewClock())
+		}
+	}
+	if len(ids) != 20 || len(conns) != 20 {
+		t.Errorf("20 backends had %d ids and %d connections", len(ids), len(conns))
+	}
+	if len(b.byName) != 1 || len(b.byID) != 1 || b.pool.count != 1 || b.pool.idle.Len() != 1 {
+		t.Errorf("kept: %d hosts, %d ids, %d connections", len(b.byName), len(b.byID), b.pool.count)
+	}
+}
+
+// A bad entry is passed over, the rest of its line counts; a host keeps its id until it is gone.
+func TestListsReachTheDecisionModule(t *testing.T) {
+	b := New(config())
+	k := drive.NewClock()
+	e := func(name, addr string, state decision.BackendState, started time.Time) membership.Node {
+		return membership.Node{Name: name, Addr: addr, State: state, Started: started}
+	}
+	now := k.Now()
+	hourAgo := time.Now().Add(-time.Hour)
+	first := b.Update(membership.List{Whole: true, Nodes: []membership.Node{e("s-1", "127.0.0.1:7", decision.Ready, time.Time{}),
+		e("", "127.0.0.1:7", decision.Ready, time.Time{}), e("s-3", "127.0.0.1:7", 9, time.Time{}), e("s-4", "", decision.Ready, time.Time{}),
+		e("s-2", "127.0.0.1:8", decision.Ready, hourAgo), e("s-5", "127.0.0.1:9", decision.Ready, time.UnixMilli(1))}}, k)
+	if first.Kind != decision.ListFull || len(first.Backends) != 3 {
+		t.Fatalf("%+v", first)
+	}
+	if s := first.Backends[1].Started; s < now-time.Hour-time.Second || s > now-time.Hour+time.Second {
+		t.Errorf("a start an hour ago is at %v, and now is %v", s, now)
+	}
+	if a, b := first.Backends[0].Started, first.Backends[2].Started; a != 0 || b != 0 {
+		t.Errorf("starts long ago are at %v and %v", a, b)
+	}
+	gone := b.Update(membership.List{Nodes: []membership.Node{e("s-1", "", decision.Gone, time.Time{})}}, k)
+	back := b.Update(membership.List{Nodes: []membership.Node{e("s-1", "127.0.0.1:27", decision.Ready, time.Time{})}}, k)
+	if gone.Kind != decision.ListChanges || gone.Backends[0].State != decision.Gone || back.Backends[0].ID == first.Backends[0].ID {
+		t.Errorf("%+v, then %+v", gone, back)
+	}
+	two := first.Backends[1].ID
+	again := b.Update(membership.List{Nodes: []membership.Node{e("s-2", "127.0.0.1:28", decision.Ready, hourAgo)}}, k)
+	if again.Backends[0].ID != two || b.ready(two) == nil || b.ready(two).addr != "127.0.0.1:28" {
+		t.Errorf("moved: %+v, ready at %+v", again, b.ready(two))
+	}
+	if saved := b.Update(membership.List{Whole: true, Saved: true}, k); saved.Kind != decision.ListSaved || b.ready(two) != nil {
+		t.Errorf("%+v: a backend that the whole list lacks may still be sent to", saved)
+	}
+}
--- a/internal/frontdoor/pool.go
+++ b/internal/httpback/pool.go
@@ -1,15 +1,17 @@
-package frontdoor
+package httpback
 
 import (
 	"bufio"
 	"container/list"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"slices"
 	"sync"
 	"time"
+
+	"pumicecroft/internal/drive"
+	"pumicecroft/internal/netlook"
 )
 
 // restTime is how long a connection rests after an answer before the next request may use it: what comes right
@@ -26,9 +28,10 @@
 	idleFor time.Duration
 
 	mu       sync.Mutex
-	open     int        // idle, in use or coming up
-	idle     *list.List // of *kept, over all places, the longest idle first
-	sweeping bool
+	count    int         // idle, in use or coming up
+	idle     *list.List  // of *kept, over all places, the longest idle first
+	sweeping *time.Timer // comes when the longest idle has been so for too long
+	ended    bool
 }
 
 // place is where connections of one backend's process at one address are kept. What belongs to another process
@@ -48,31 +51,33 @@
 	since time.Time     // when it became idle
 	elem  *list.Element // in pool.idle
 	used  bool          // it has carried an answer
+	text  []byte        // room for a request's text
 }
 
 func newPool(dial func(ctx context.Context, network, addr string) (net.Conn, error), most int, idleFor time.Duration) *pool {
 	return &pool{dial: dial, most: most, idleFor: idleFor, idle: list.New()}
 }
 
-// get gives a clean connection, a kept one if there is one and fresh does not forbid it.
-func (p *pool) get(ctx context.Context, at *place, fresh bool) (*kept, error) {
-	c, err := p.reserve(at, fresh)
-	if c != nil || err != nil {
-		return c, err
-	}
+// open dials a connection that reserve has counted.
+func (p *pool) open(ctx context.Context, at *place) (*kept, error) {
 	conn, err := p.dial(ctx, "tcp", at.addr)
 	if err != nil {
-		p.mu.Lock()
-		p.open--
-		p.mu.Unlock()
+		p.release()
 		return nil, err
 	}
-	c = &kept{Conn: conn, place: at}
-	c.bound.r = conn
+	c := &kept{Conn: conn, place: at}
+	c.bound.conn = conn
 	c.r = bufio.NewReaderSize(&c.bound, 2<<10)
 	return c, nil
 }
 
+// release gives back the room of a connection that reserve has counted and that never came up.
+func (p *pool) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.count--
+}
+
 // reserve takes a kept connection, or else, with nil, counts one that is to be opened.
 func (p *pool) reserve(at *place, fresh bool) (*kept, error) {
 	p.mu.Lock()
@@ -84,12 +89,12 @@
 			continue
 		}
 		p.unkeep(c)
-		if now.Sub(c.since) < p.idleFor && pending(c.Conn) == clean {
+		if now.Sub(c.since) < p.idleFor && netlook.At(c.Conn) == netlook.Clean {
 			return c, nil
 		}
 		p.discard(c)
 	}
-	if p.open >= p.most {
+	if p.count >= p.most {
 		if p.idle.Len() == 0 {
 			return nil, errFull
 		}
@@ -97,24 +102,24 @@
 		p.unkeep(c)
 		p.discard(c)
 	}
-	p.open++
+	p.count++
 	return nil, nil
 }
 
-// put keeps a connection whose answer has been read whole, if it is clean.
+// put keeps a connection whose answer has been read whole. Whether it is clean is seen when it is next used: what
+// comes right behind an answer may not have come yet.
 func (p *pool) put(c *kept) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.place.closed || c.r.Buffered() > 0 || pending(c.Conn) != clean {
+	if p.ended || c.place.closed || c.r.Buffered() > 0 {
 		p.discard(c)
 		return
 	}
 	c.used, c.since = true, time.Now()
 	c.place.idle = append(c.place.idle, c)
 	c.elem = p.idle.PushBack(c)
-	if !p.sweeping {
-		p.sweeping = true
-		time.AfterFunc(p.idleFor, p.sweep)
+	if p.sweeping == nil {
+		p.sweeping = time.AfterFunc(p.idleFor, p.sweep)
 	}
 }
 
@@ -125,6 +130,22 @@
 	p.discard(c)
 }
 
+// end keeps nothing from now on.
+func (p *pool) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+	for p.idle.Len() > 0 {
+		c := p.idle.Front().Value.(*kept)
+		p.unkeep(c)
+		p.discard(c)
+	}
+	if p.sweeping != nil {
+		p.sweeping.Stop()
+		p.sweeping = nil
+	}
+}
+
 // clear ends a place: its idle connections now, those in use when they come back.
 func (p *pool) clear(at *place) {
 	p.mu.Lock()
@@ -144,13 +165,13 @@
 	for p.idle.Len() > 0 {
 		c := p.idle.Front().Value.(*kept)
 		if left := p.idleFor - time.Since(c.since); left > 0 {
-			time.AfterFunc(left, p.sweep)
+			p.sweeping = time.AfterFunc(left, p.sweep)
 			return
 		}
 		p.unkeep(c)
 		p.discard(c)
 	}
-	p.sweeping = false
+	p.sweeping = nil
 }
 
 func (p *pool) unkeep(c *kept) {
@@ -160,22 +181,45 @@
 
 func (p *pool) discard(c *kept) {
 	c.Close()
-	p.open--
+	p.count--
 }
 
 var errBig = errors.New("the answer is larger than answers may be")
 
-// bound is a reader that gives out only so much.
+// bound reads a connection, gives out only so much, and lets an answer that has begun take only so long.
 type bound struct {
-	r    io.Reader
-	left int
+	conn  net.Conn
+	a     *drive.Attempt
+	left  int
+	begun bool // the answer has
+	timed bool // the connection has a deadline for the answer's rest
+}
+
+func (b *bound) reset(left int, a *drive.Attempt) {
+	b.left, b.a, b.begun, b.timed = left, a, false, false
 }
 
 func (b *bound) Read(p []byte) (int, error) {
 	if b.left <= 0 {
 		return 0, errBig
 	}
-	n, err := b.r.Read(p[:min(len(p), b.left)])
+	// Most answers come in one piece, and then there is nothing to time.
+	if b.begun && !b.timed {
+		b.timed = true
+		// The call-off may have set a deadline already, which this must not undo.
+		if err := b.a.Unless(func() { b.conn.SetReadDeadline(time.Now().Add(answerTime)) }); err != nil {
+			return 0, err
+		}
+	}
+	n, err := b.conn.Read(p[:min(len(p), b.left)])
 	b.left -= n
 	return n, err
 }
+
+// rest ends the answer's time, for the next one on the connection. One that is called off is not used again.
+func (b *bound) rest() {
+	if b.timed {
+		_ = b.a.Unless(func() { b.conn.SetReadDeadline(time.Time{}) })
+	}
+	b.a = nil
+}
--- a/internal/frontdoor/conns.go
+++ b/internal/httpfront/conns.go
@@ -1,4 +1,4 @@
-package frontdoor
+package httpfront
 
 import (
 	"container/list"
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"pumicecroft/internal/netlook"
 )
 
 // clientListener accepts connections that know whether a request has begun on them. The server takes a connection for
@@ -36,7 +38,7 @@
 	return n, err
 }
 
-// SyscallConn lets pending look at the connection below.
+// SyscallConn lets netlook look at the connection below.
 func (c *clientConn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -101,42 +103,7 @@
 
 // asking tells whether some of a request has come on a connection that counts as silent.
 func asking(c net.Conn) bool {
-	seen := pending(c) // first, as what it sees may be read right behind
+	seen := netlook.At(c) // first, as what it sees may be read right behind
 	cc, ok := c.(*clientConn)
-	return seen == waiting || ok && cc.begun.Load()
-}
-
-// sight is what can be seen on a connection without taking anything from it.
-type sight uint8
-
-const (
-	clean   sight = iota // nothing has come
-	waiting              // something has come
-	ended                // the other side has closed it, or it is broken
-)
-
-// pending looks whether something has come on a connection that nobody has read yet.
-func pending(c net.Conn) sight {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return ended
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return ended
-	}
-	seen := ended
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		switch n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
-		case n > 0:
-			seen = waiting
-		case err == syscall.EAGAIN || err == syscall.EINTR:
-			seen = clean
-		}
-	})
-	if err != nil {
-		return ended
-	}
-	return seen
+	return seen == netlook.Waiting || ok && cc.begun.Load()
 }
--- /dev/null
+++ b/internal/httpfront/conns_test.go
@@ -0,0 +1,148 @@
+package httpfront
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"pumicecroft/internal/netlook"
+	"pumicecroft/internal/testkit"
+)
+
+// dialAll opens connections to a door.
+func dialAll(t *testing.T, addr string, n int) []net.Conn {
+	t.Helper()
+	conns := make([]net.Conn, n)
+	for i := range conns {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		conns[i] = c
+	}
+	return conns
+}
+
+// startSmall starts a server that lets clients have five connections.
+func startSmall(t *testing.T, h http.HandlerFunc) (string, *Server) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	s := NewServer(h, 5, 10*time.Second, slog.New(slog.DiscardHandler))
+	go s.Run(ctx, ln)
+	return ln.Addr().String(), s
+}
+
+const asked = "GET /look/at/what/is/there HTTP/1.1\r\nHost: h\r\nA: some header\r\n\r\n"
+
+// Clients that connect and say nothing use up the descriptors, and then nobody is served. Past the bound the longest
+// silent is closed, and never one with a request open.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	began, goOn := make(chan bool, 1), make(chan bool)
+	addr, server := startSmall(t, func(w http.ResponseWriter, _ *http.Request) {
+		began <- true
+		<-goOn
+		w.WriteHeader(http.StatusBadGateway)
+	})
+	asking := dialAll(t, addr, 1)[0]
+	io.WriteString(asking, asked)
+	testkit.Await(t, began, "the request")
+	dialAll(t, addr, 20)
+	server.conns.mu.Lock()
+	if n := len(server.conns.open); n > 6 { // one may just have come
+		t.Errorf("%d connections are open, 5 may be", n)
+	}
+	server.conns.mu.Unlock()
+	close(goOn)
+	if res, err := http.ReadResponse(bufio.NewReader(asking), nil); err != nil || res.StatusCode != http.StatusBadGateway {
+		t.Errorf("the connection with a request open: %v, %v", res, err)
+	}
+}
+
+// A request that comes in pieces has begun when its first piece has been read, though the server still takes its
+// connection for a silent one. Closing that to make room would lose the request, be it the connection's first or not.
+func TestARequestInPiecesIsNoSilence(t *testing.T) {
+	for name, before := range map[string]int{"on a new connection": 0, "on a kept connection": 1} {
+		t.Run(name, func(t *testing.T) {
+			addr, clients := startSmall(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			conn := dialAll(t, addr, 1)[0]
+			answers := bufio.NewReader(conn)
+			answered := func() {
+				t.Helper()
+				if res, err := http.ReadResponse(answers, nil); err != nil || res.StatusCode != http.StatusServiceUnavailable {
+					t.Fatalf("answered %v, %v", res, err)
+				}
+			}
+			for range before {
+				io.WriteString(conn, asked)
+				answered()
+			}
+			quiet := func(begun bool) bool { // the connection counts as silent, with or without something read
+				clients.conns.mu.Lock()
+				defer clients.conns.mu.Unlock()
+				e := clients.conns.quiet.Front()
+				return e != nil && e.Value.(*clientConn).begun.Load() == begun
+			}
+			for _, piece := range []bool{false, true} {
+				if piece {
+					io.WriteString(conn, asked[:40])
+				}
+				for end := time.Now().Add(testkit.Patient); !quiet(piece); time.Sleep(time.Millisecond) {
+					if time.Now().After(end) {
+						t.Fatal("the piece was never read")
+					}
+				}
+			}
+			for _, c := range dialAll(t, addr, 6)[:2] {
+				testkit.UntilEnd(t, c) // others make room
+			}
+			io.WriteString(conn, asked[40:])
+			answered()
+		})
+	}
+}
+
+// The longest silent goes first, unless something has come on it that only is not read yet.
+func TestWhichConnectionGoes(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	table := newConnTable(3)
+	var far, near []net.Conn
+	for range 5 {
+		far = append(far, dialAll(t, ln.Addr().String(), 1)[0])
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		near = append(near, c)
+	}
+	table.note(near[0], http.StateNew)
+	table.note(near[0], http.StateActive) // a request is open
+	table.note(near[1], http.StateNew)
+	table.note(near[2], http.StateNew)
+	io.WriteString(far[1], "G")
+	for deadline := time.Now().Add(testkit.Patient); netlook.At(near[1]) != netlook.Waiting && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	table.note(near[3], http.StateNew)
+	testkit.UntilEnd(t, far[2])
+	table.note(near[0], http.StateIdle) // the shortest silent now
+	table.note(near[4], http.StateNew)
+	testkit.UntilEnd(t, far[3])
+}
--- /dev/null
+++ b/internal/httpfront/server.go
@@ -0,0 +1,95 @@
+// Package httpfront is the daemon's listener for clients: HTTP/1.1 on a socket, with bounds on the connections
+// that clients hold and on how long they may take to ask, and an end that loses nothing. What it serves is a
+// handler; it decides nothing about requests. conns.go bounds the connections.
+package httpfront
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// A client that sends no whole head within headTime of its beginning is not one of ours. A new connection's
+	// head counts from its accept.
+	headTime = 1500 * time.Millisecond
+	idleTime = 15 * time.Second // that a client may keep a connection without a request
+
+	// After SIGTERM new connections are taken for at least drainLeast, then until none has come for
+	// drainQuiet, and for no longer than drainMost. The platform kills us no sooner than drainMost after the
+	// longest deadline.
+	drainLeast = 500 * time.Millisecond
+	drainQuiet = 150 * time.Millisecond
+	drainMost  = 700 * time.Millisecond
+)
+
+// Server is the side of the front door that clients see.
+type Server struct {
+	handler  http.Handler
+	longest  time.Duration // of all deadlines
+	log      *slog.Logger
+	conns    *connTable
+	closing  atomic.Bool
+	lastConn atomic.Int64 // when the last connection was accepted, Unix time in nanoseconds
+}
+
+// NewServer serves clients with a handler. conns is how many connections they may hold, longest the longest
+// deadline of a request.
+func NewServer(handler http.Handler, conns int, longest time.Duration, log *slog.Logger) *Server {
+	return &Server{handler: handler, longest: longest, log: log, conns: newConnTable(conns)}
+}
+
+// Run serves clients on a listener until ctx ends, and then for as long as it takes to lose nothing: it goes
+// on accepting while clients still come, stops listening, and returns when it holds no request.
+func (s *Server) Run(ctx context.Context, listener net.Listener) error {
+	srv := &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: headTime,
+		// There is no ReadTimeout: it would also run while a request waits for its answer, and a read that times
+		// out then would look as if the client had gone. Bodies have a limit of their own.
+		WriteTimeout:   s.longest + 10*time.Second,
+		IdleTimeout:    idleTime,
+		MaxHeaderBytes: 16 << 10,
+		ErrorLog:       slog.NewLogLogger(s.log.Handler(), slog.LevelWarn),
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				s.lastConn.Store(time.Now().UnixNano())
+			}
+			s.conns.note(conn, state)
+		},
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- srv.Serve(clientListener{listener}) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	s.closing.Store(true)
+	start := time.Now()
+	for time.Since(start) < drainLeast ||
+		time.Since(start) < drainMost && time.Since(time.Unix(0, s.lastConn.Load())) < drainQuiet {
+		time.Sleep(10 * time.Millisecond)
+	}
+	stop, cancel := context.WithTimeout(context.Background(), s.longest)
+	defer cancel()
+	return srv.Shutdown(stop)
+}
+
+// ServeHTTP answers /ready itself and passes on the rest.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	closing := s.closing.Load()
+	if closing {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/ready" {
+		if closing {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	s.handler.ServeHTTP(w, r)
+}
--- /dev/null
+++ b/internal/netlook/netlook_test.go
@@ -0,0 +1,46 @@
+package netlook
+
+import (
+	"io"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"pumicecroft/internal/testkit"
+)
+
+// What is on a connection shows without being taken from it.
+func TestPending(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	far, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	near, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	seen := []Sight{At(near)}
+	io.WriteString(far, "x")
+	near.Read(nil)
+	for deadline := time.Now().Add(testkit.Patient); At(near) == Clean && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	seen = append(seen, At(near), At(near))
+	near.Read(make([]byte, 1))
+	far.Close()
+	for deadline := time.Now().Add(testkit.Patient); At(near) == Clean && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	seen = append(seen, At(near))
+	if want := []Sight{Clean, Waiting, Waiting, Ended}; !slices.Equal(seen, want) {
+		t.Errorf("seen %v, want %v", seen, want)
+	}
+}
--- a/internal/frontdoor/config.go
+++ b/internal/platform/config.go
@@ -1,9 +1,7 @@
-// Package frontdoor puts one gateway of package decision on real sockets: it takes clients' requests over
-// HTTP, carries out the gateway's decisions towards the backends and follows discovery. It decides nothing
-// itself. config.go reads the configuration, loop.go owns the gateway, clients.go and backends.go are the two
-// sides of a request, conns.go bounds the connections of clients and pool.go those to backends, discovery.go keeps
-// the list of backends up to date.
-package frontdoor
+// Package platform is what this deployment's platform tells a front door: the file that NODE_CONFIG names
+// (config.go) and the list of backends that discovery keeps (discovery.go). It turns both into the library's
+// terms and decides nothing.
+package platform
 
 import (
 	"encoding/json"
@@ -23,12 +21,12 @@
 	Sockets  int     `json:"sockets"`
 }
 
-// clientConns is how many connections of clients may be open. They hold a third of the descriptors at most for
+// ClientConns is how many connections of clients may be open. They hold a third of the descriptors at most for
 // requests; the rest is room for those that ask now and then.
-func (l Limits) clientConns() int { return max(1, l.Sockets*5/12) }
+func (l Limits) ClientConns() int { return max(1, l.Sockets*5/12) }
 
-// backendConns is how many connections to backends may be open, idle ones among them.
-func (l Limits) backendConns() int { return max(1, l.Sockets*5/12) }
+// BackendConns is how many connections to backends may be open, idle ones among them.
+func (l Limits) BackendConns() int { return max(1, l.Sockets*5/12) }
 
 // Config is what a front door is told at its start.
 type Config struct {
--- a/internal/frontdoor/config_test.go
+++ b/internal/platform/config_test.go
@@ -1,4 +1,4 @@
-package frontdoor
+package platform
 
 import (
 	"path/filepath"
@@ -7,6 +7,29 @@
 	"time"
 )
 
+const testConfig = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "known":{"seq":41,"whole":true,"hosts":[]},
+ "settings":{"balancers":2,"me":0,
+  "lanes":[{"name":"look","effect":"retryable","goal_time_us":20000000,"deadline_us":60000000,"gain":1},
+   {"name":"pay","effect":"dedup","group":"cell","key_ttl_us":5000000,"goal_time_us":20000000,"deadline_us":60000000,"gain":5}],
+  "tariffs":[{"name":"basic","units_per_s":1000,"burst":1000,"value_factor":1},
+   {"name":"tiny","units_per_s":0.5,"burst":1,"value_factor":1}],
+  "family_info":{"meter_period_us":500000,"largest":3},
+  "policy_limits":{"cancel":true,"max_attempts":3,"max_retry_after_us":500000,"retry_after":true,
+   "conn_idle_us":15000000,"connect_timeout_us":250000},
+  "stats":{"columns":["depth","tps"],"how":"answers"},
+  "obligations":{"cold_from":0.2,"warm_within_us":1000000,"fall_multiple":4,"fall_us":1000000}}}`
+
+func config(t testing.TB) Config {
+	t.Helper()
+	c, err := parseConfig([]byte(testConfig))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 func TestConfig(t *testing.T) {
 	c := config(t)
 	if c.Seed != 0x8c1f30d27a5be964 || c.Known.Seq != 41 || c.Conns.Idle != 15*time.Second ||
--- a/internal/frontdoor/discovery.go
+++ b/internal/platform/discovery.go
@@ -1,4 +1,4 @@
-package frontdoor
+package platform
 
 import (
 	"context"
@@ -9,10 +9,10 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"pumicecroft/decision"
+	"pumicecroft/membership"
 
 	"golang.org/x/time/rate"
 )
@@ -38,16 +38,35 @@
 
 var states = map[string]decision.BackendState{"Ready": decision.Ready, "Terminating": decision.Draining, "Gone": decision.Gone}
 
-// usable leaves out the entries that make no sense.
-func usable(hosts []Endpoint) []Endpoint {
-	return slices.DeleteFunc(hosts, func(e Endpoint) bool {
+// Members gives the list in the library's terms. Entries that make no sense are left out.
+func (l EndpointList) Members() membership.List {
+	out := membership.List{Whole: l.Whole}
+	for _, e := range l.Hosts {
 		state, ok := states[e.Health]
-		bad := !ok || e.Host == "" || e.Dial == "" && state != decision.Gone || e.BornMS < 0
-		if bad {
+		n := membership.Node{Name: e.Host, Addr: e.Dial, Zone: e.Site, Kind: e.Class, Cell: e.Block, State: state,
+			Weight: e.Share}
+		if e.BornMS != 0 {
+			n.Started = time.UnixMilli(e.BornMS)
+		}
+		if err := n.Check(); err != nil || !ok || e.BornMS < 0 {
 			slog.Warn("discovery: an entry that makes no sense", "entry", e)
+			continue
 		}
-		return bad
-	})
+		out.Nodes = append(out.Nodes, n)
+	}
+	return out
+}
+
+// Discovery follows the platform's discovery. It is a source of lists for the library.
+type Discovery struct {
+	Addr  string
+	From  int64         // the version of the list that is known
+	Moves <-chan string // each address that comes takes the place of the one before; nil: none comes
+}
+
+// Run follows discovery until ctx ends.
+func (d Discovery) Run(ctx context.Context, update func(membership.List)) {
+	Follow(ctx, d.Addr, d.From, d.Moves, func(l EndpointList) { update(l.Members()) })
 }
 
 const (
--- a/internal/frontdoor/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -1,4 +1,4 @@
-package frontdoor
+package platform
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"pumicecroft/decision"
+	"pumicecroft/internal/testkit"
 )
 
 const entry = `{"host":"s-1","dial":"127.0.0.1:%d","site":"a","class":"m2","block":3,"health":"%s","share":1.0,"born_ms":0}`
@@ -17,7 +17,7 @@
 func TestWatchGoesOnWhereItWas(t *testing.T) {
 	asked := make(chan string, 10)
 	n := 0
-	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+	addr := testkit.Serve(t, func(w http.ResponseWriter, r *http.Request) {
 		n++
 		asked <- r.URL.RawQuery
 		switch n {
@@ -34,7 +34,7 @@
 	lists := make(chan EndpointList, 10)
 	from := int64(41)
 	for want, wantSeq := range []int64{42, 42, 43} {
-		ctx, cancel := context.WithTimeout(t.Context(), patient)
+		ctx, cancel := context.WithTimeout(t.Context(), testkit.Patient)
 		err := watch(ctx, &http.Transport{}, addr, time.Second, &from, func(l EndpointList) { lists <- l })
 		if err == nil || ctx.Err() != nil || from != wantSeq {
 			t.Errorf("watch %d ended with %v at version %d, want %d", want+1, err, from, wantSeq)
@@ -54,7 +54,7 @@
 // Empty lines keep a watch alive for longer than its time-out.
 func TestEmptyLinesKeepAWatch(t *testing.T) {
 	const silence = time.Second
-	addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+	addr := testkit.Serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		for range 12 {
 			fmt.Fprintln(w)
 			w.(http.Flusher).Flush()
@@ -69,52 +69,12 @@
 	}
 }
 
-// A bad entry is passed over, the rest of its line counts; a host keeps its id until it is gone.
-func TestListsReachTheGateway(t *testing.T) {
-	g := script(nil)
-	b := NewBackends(config(t))
-	k := clock{time.Now()}
-	l := newLoop(k, g, b)
-	e := func(host, dial, health string, born int64) Endpoint {
-		return Endpoint{Host: host, Dial: dial, Health: health, BornMS: born}
-	}
-	hourAgo := k.start.Add(-time.Hour).UnixMilli()
-	l.Update(EndpointList{Whole: true, Hosts: []Endpoint{e("s-1", "127.0.0.1:7", "Ready", 0),
-		e("", "127.0.0.1:7", "Ready", 0), e("s-3", "127.0.0.1:7", "Unwell", 0), e("s-4", "", "Ready", 0),
-		e("s-2", "127.0.0.1:8", "Ready", hourAgo), e("s-5", "127.0.0.1:9", "Ready", 1)}})
-	first := next[decision.BackendList](t, g)
-	if first.Kind != decision.ListFull || len(first.Backends) != 3 {
-		t.Fatalf("%+v", first)
-	}
-	if s := first.Backends[1].Started; s < origin-time.Hour-time.Second || s > origin-time.Hour+time.Second {
-		t.Errorf("a start an hour ago is at %v, and now is %v", s, k.now())
-	}
-	if a, b := first.Backends[0].Started, first.Backends[2].Started; a != 0 || b != 0 {
-		t.Errorf("starts long ago are at %v and %v", a, b)
-	}
-	l.Update(EndpointList{Hosts: []Endpoint{e("s-1", "127.0.0.1:17", "Gone", 0)}})
-	l.Update(EndpointList{Hosts: []Endpoint{e("s-1", "127.0.0.1:27", "Ready", 0)}})
-	if gone, back := next[decision.BackendList](t, g), next[decision.BackendList](t, g); gone.Kind != decision.ListChanges ||
-		gone.Backends[0].State != decision.Gone || back.Backends[0].ID == first.Backends[0].ID {
-		t.Errorf("%+v, then %+v", gone, back)
-	}
-	two := first.Backends[1].ID
-	l.Update(EndpointList{Hosts: []Endpoint{e("s-2", "127.0.0.1:28", "Ready", hourAgo)}})
-	if again := next[decision.BackendList](t, g); again.Backends[0].ID != two || b.ready(two) == nil || b.ready(two).addr != "127.0.0.1:28" {
-		t.Errorf("moved: %+v, ready at %+v", again, b.ready(two))
-	}
-	l.Update(EndpointList{Whole: true}) // what a whole list lacks is gone
-	if b.ready(two) != nil {
-		t.Error("a backend that the whole list lacks may still be sent to")
-	}
-}
-
 // After a move the versions of the old discovery mean nothing: the new one's whole list comes first, and then its
 // changes, from its own version on. The same holds where one discovery's versions go back.
 func TestAMoveTakesTheWholeList(t *testing.T) {
 	discovery := func(answer func(r *http.Request) string) (string, chan string) {
 		asked := make(chan string, 10)
-		return serve(t, func(w http.ResponseWriter, r *http.Request) {
+		return testkit.Serve(t, func(w http.ResponseWriter, r *http.Request) {
 			asked <- r.URL.RequestURI()
 			fmt.Fprintln(w, answer(r))
 			if r.URL.RawQuery != "" {
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,43 @@
+// Package membership says which backends there are. It holds the form in which any source (the platform's
+// discovery, a file, a program's own list) reports them; a source only reports, and never learns what is made
+// of it. The package is pure: it does no I/O and reads no clock.
+package membership
+
+import (
+	"fmt"
+	"time"
+
+	"pumicecroft/decision"
+)
+
+// Node is one backend.
+type Node struct {
+	Name    string // the same for as long as this is the same machine, whatever its address
+	Addr    string // host:port to connect to; may be empty of a node that is gone
+	Zone    string
+	Kind    string // the model of the machine
+	Cell    int    // backends of one cell drop each other's repeats
+	State   decision.BackendState
+	Weight  float64
+	Started time.Time // when its process last started; the zero time: long ago
+}
+
+// List is news of the nodes.
+type List struct {
+	Whole bool // these are all nodes, and what is missing is gone; else only these have changed
+	Saved bool // with Whole: it is the list as last held before a restart, and may be old
+	Nodes []Node
+}
+
+// Check tells what is wrong with a node, or nil.
+func (n Node) Check() error {
+	switch {
+	case n.Name == "":
+		return fmt.Errorf("a node without a name, at %q", n.Addr)
+	case n.State > decision.Gone:
+		return fmt.Errorf("node %q has no state that is known", n.Name)
+	case n.Addr == "" && n.State != decision.Gone:
+		return fmt.Errorf("node %q has no address", n.Name)
+	}
+	return nil
+}
