Test the core: scripted cases, any order of events, and purity of imports

Need: every further front rests on the core's promises (one Final, one outcome for each Start, nothing left). Change: scripted tests; two rapid property tests, over a decision module that does anything at all and over the shipped one; a test that the pure packages import no I/O, read no clock and start no goroutine, and that it would see it.

--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,341 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pumicecroft/decision"
+)
+
+const ms = time.Millisecond
+
+var classes = []decision.Class{{Name: "safe"}, {Name: "keyed", Effect: decision.Keyed}, {Name: "unsafe", Effect: decision.Unsafe}}
+
+// rig is a core over a decision module that does as the test says, and keeps what it heard.
+type rig struct {
+	t     *testing.T
+	c     *Core
+	now   time.Duration
+	heard []string
+	on    func(ev decision.Event) []decision.Action
+}
+
+func (r *rig) Handle(now time.Duration, ev decision.Event, as []decision.Action) []decision.Action {
+	if now != r.now {
+		r.t.Errorf("the decision module is told that it is %v, it is %v", now, r.now)
+	}
+	r.heard = append(r.heard, fmt.Sprintf("%T%+v", ev, ev))
+	if r.on != nil {
+		as = append(as, r.on(ev)...)
+	}
+	return as
+}
+
+func newRig(t *testing.T, l Limits, on func(decision.Event) []decision.Action) *rig {
+	r := &rig{t: t, on: on, now: time.Hour}
+	r.c = New(r, classes, l, r.now)
+	return r
+}
+
+// tell gives effects as short lines, such as "start 1/0 at 7 by 2s" and "final 1 served".
+func tell(es []Effect) string {
+	var lines []string
+	for _, e := range es {
+		switch e.Kind {
+		case Start:
+			lines = append(lines, fmt.Sprintf("start %d/%d at %d by %v", e.Request, e.Attempt, e.Backend, e.Due-time.Hour))
+		case CallOff:
+			lines = append(lines, fmt.Sprintf("calloff %d/%d%s", e.Request, e.Attempt, map[bool]string{true: " late"}[e.TimedOut]))
+		case Final:
+			verdict := []string{"served", "refused", "failed", "late", "left", "aborted"}[e.Verdict]
+			if e.Verdict == Refused {
+				verdict += " " + e.RetryAfter.String()
+			}
+			if e.Verdict == Served {
+				verdict += fmt.Sprint(" by ", e.Attempt)
+			}
+			lines = append(lines, fmt.Sprintf("final %d %s", e.Request, verdict))
+		case Probe:
+			lines = append(lines, fmt.Sprintf("probe %d", e.Backend))
+		case Subscribe:
+			lines = append(lines, "subscribe")
+		}
+	}
+	return strings.Join(lines, "; ")
+}
+
+func (r *rig) want(what string, es []Effect, want string) {
+	r.t.Helper()
+	if got := tell(es); got != want {
+		r.t.Errorf("%s: %q, want %q", what, got, want)
+	}
+}
+
+func (r *rig) arrive(id decision.RequestID, class string) []Effect {
+	r.t.Helper()
+	es, err := r.c.Arrive(r.now, id, decision.Request{ID: id, Class: class, Patience: 960 * ms}, 980*ms)
+	if err != nil {
+		r.t.Fatalf("request %d: %v", id, err)
+	}
+	return es
+}
+
+func (r *rig) at(d time.Duration) time.Duration {
+	r.now = time.Hour + d
+	return r.now
+}
+
+func (r *rig) heardLast(part string) {
+	r.t.Helper()
+	if len(r.heard) == 0 || !strings.Contains(r.heard[len(r.heard)-1], part) {
+		r.t.Errorf("the decision module heard %q last, want %q in it", r.heard[max(0, len(r.heard)-1):], part)
+	}
+}
+
+func (r *rig) empty() {
+	r.t.Helper()
+	if r.c.Open() != 0 || len(r.c.timers) != 0 {
+		r.t.Errorf("%d requests and %d timers are left", r.c.Open(), len(r.c.timers))
+	}
+}
+
+// sendOn sends each request to backend 7, and does nothing else but what more says.
+func sendOn(more func(decision.Event) []decision.Action) func(decision.Event) []decision.Action {
+	return func(ev decision.Event) []decision.Action {
+		if r, ok := ev.(decision.Request); ok {
+			return []decision.Action{decision.Send{Request: r.ID, Backend: 7}}
+		}
+		if more != nil {
+			return more(ev)
+		}
+		return nil
+	}
+}
+
+func TestServed(t *testing.T) {
+	r := newRig(t, Limits{}, sendOn(nil))
+	r.want("arrival", r.arrive(1, "safe"), "start 1/0 at 7 by 960ms")
+	r.want("answer", r.c.Ended(r.at(30*ms), 1, 0, Outcome{Result: decision.Answered, HasUse: true, Use: 5, Load: []float64{2}}), "final 1 served by 0")
+	r.heardLast("{Request:1 Backend:7 Attempt:0 Result:0 Took:30ms Final:true HasUse:true Use:5 Units:0 Load:[2]}")
+	r.want("a second word", r.c.Ended(r.now, 1, 0, Outcome{}), "")
+	r.empty()
+}
+
+func TestRetriedOnceMoreAndServed(t *testing.T) {
+	r := newRig(t, Limits{}, sendOn(func(ev decision.Event) []decision.Action {
+		if o, ok := ev.(decision.Outcome); ok && o.Attempt == 0 {
+			return []decision.Action{decision.Send{Request: o.Request, Backend: 8, Timeout: 100 * ms}}
+		}
+		return nil
+	}))
+	r.arrive(1, "safe")
+	r.want("broken", r.c.Ended(r.at(10*ms), 1, 0, Outcome{Result: decision.Broken}), "start 1/1 at 8 by 110ms")
+	r.want("the attempt's own time", r.c.Tick(r.at(110*ms)), "calloff 1/1 late")
+	r.want("its answer all the same", r.c.Ended(r.at(111*ms), 1, 1, Outcome{Result: decision.Answered}), "final 1 served by 1")
+	r.empty()
+}
+
+func TestRefusedAndFailedOnlyOnce(t *testing.T) {
+	r := newRig(t, Limits{}, func(ev decision.Event) []decision.Action {
+		if q, ok := ev.(decision.Request); ok {
+			return []decision.Action{decision.Refuse{Request: q.ID, RetryAfter: 250 * ms}, decision.Fail{Request: q.ID}}
+		}
+		return nil
+	})
+	r.want("refusal", r.arrive(1, "safe"), "final 1 refused 250ms")
+	if r.c.Strays() != 1 {
+		t.Errorf("%d strays, want the second answer", r.c.Strays())
+	}
+	r.empty()
+}
+
+// The last moment comes whatever the decision module does or does not do.
+func TestLastMoment(t *testing.T) {
+	r := newRig(t, Limits{}, sendOn(nil))
+	r.arrive(1, "safe")
+	if at, ok := r.c.Next(); !ok || at != time.Hour+960*ms {
+		t.Errorf("next at %v %v", at, ok)
+	}
+	r.want("early", r.c.Tick(r.at(959*ms)), "")
+	r.want("attempts' time", r.c.Tick(r.at(960*ms)), "calloff 1/0 late")
+	r.want("last moment", r.c.Tick(r.at(980*ms)), "final 1 late")
+	r.heardLast("ClientGone")
+	r.want("the end of it", r.c.Ended(r.at(981*ms), 1, 0, Outcome{Result: decision.TimedOut}), "")
+	r.heardLast("Final:true")
+	r.empty()
+}
+
+// A driver that was paused finds all timers due at once: they come in the order of their times, before whatever
+// event woke it, and an answer that came too late serves nobody.
+func TestAfterAPause(t *testing.T) {
+	r := newRig(t, Limits{}, sendOn(nil))
+	r.arrive(1, "safe")
+	r.now += 5 * ms
+	r.arrive(2, "safe")
+	r.want("all at once", r.c.Ended(r.at(5*time.Second), 2, 0, Outcome{Result: decision.Answered}),
+		"calloff 1/0 late; final 1 late; calloff 2/0 late; final 2 late")
+	r.heardLast("Result:0 Took:4.995s Final:true")
+	r.want("nothing more", r.c.Tick(r.now), "")
+}
+
+func TestTimersAtOneInstantKeepTheirOrder(t *testing.T) {
+	var tokens []uint64
+	r := newRig(t, Limits{}, func(ev decision.Event) []decision.Action {
+		switch ev := ev.(type) {
+		case decision.Request:
+			return []decision.Action{decision.SetTimer{After: 10 * ms, Token: 3, Request: 1}, decision.SetTimer{After: 10 * ms, Token: 1, Request: 1},
+				decision.SetTimer{After: 10 * ms}, decision.SetTimer{After: -ms, Token: 9, Request: 1}}
+		case decision.Timer:
+			tokens = append(tokens, ev.Token)
+			if ev.Token == 9 { // one that would come for ever
+				return []decision.Action{decision.SetTimer{Token: 9, Request: 1}}
+			}
+		}
+		return nil
+	})
+	r.arrive(1, "safe")
+	r.c.Tick(r.now)
+	r.c.Tick(r.at(10 * ms))
+	if want := []uint64{9, 9, 3, 1, 0}; !slices.Equal(tokens, want) {
+		t.Errorf("timers came as %v, want %v", tokens, want)
+	}
+}
+
+func TestAClientThatLeaves(t *testing.T) {
+	r := newRig(t, Limits{}, sendOn(func(ev decision.Event) []decision.Action {
+		if g, ok := ev.(decision.ClientGone); ok {
+			return []decision.Action{decision.Cancel{Request: g.Request}, decision.Send{Request: g.Request, Backend: 9}}
+		}
+		return nil
+	}))
+	r.arrive(1, "safe")
+	r.want("another's tag", r.c.Leave(r.now, "stranger", 1), "")
+	r.want("left", r.c.Leave(r.at(10*ms), decision.RequestID(1), 1), "final 1 left; calloff 1/0")
+	r.heardLast("Attempt:1 Result:7") // what it wanted to send after the end was not sent
+	r.want("twice", r.c.Leave(r.now, decision.RequestID(1), 1), "")
+	if r.c.Open() != 1 || r.c.Owed() != 0 {
+		t.Errorf("open %d, owed %d, want the attempt only", r.c.Open(), r.c.Owed())
+	}
+	r.c.Ended(r.at(11*ms), 1, 0, Outcome{Result: decision.Cancelled})
+	r.empty()
+}
+
+// A decision module that gives an answer and calls nothing off leaves an attempt out. It still has an end.
+func TestAnAttemptPastItsRequest(t *testing.T) {
+	r := newRig(t, Limits{}, func(ev decision.Event) []decision.Action {
+		if q, ok := ev.(decision.Request); ok {
+			return []decision.Action{decision.Send{Request: q.ID, Backend: 7}, decision.Fail{Request: q.ID}}
+		}
+		return nil
+	})
+	r.want("arrival", r.arrive(1, "safe"), "start 1/0 at 7 by 960ms; final 1 failed")
+	if _, err := r.c.Arrive(r.now, 1, decision.Request{ID: 1, Class: "safe", Patience: 1}, 1); !errors.Is(err, ErrOpen) {
+		t.Errorf("its id again: %v", err)
+	}
+	r.want("its time", r.c.Tick(r.at(960*ms)), "calloff 1/0 late")
+	r.want("its answer", r.c.Ended(r.at(970*ms), 1, 0, Outcome{Result: decision.Answered}), "")
+	r.heardLast("Result:0 Took:970ms Final:true")
+	r.empty()
+}
+
+func TestWhatIsNotLetIn(t *testing.T) {
+	r := newRig(t, Limits{Open: 2, Attempts: 1}, sendOn(func(ev decision.Event) []decision.Action {
+		if o, ok := ev.(decision.Outcome); ok && o.Attempt < 3 {
+			return []decision.Action{decision.Send{Request: o.Request, Backend: 8}}
+		}
+		return nil
+	}))
+	again := func(id decision.RequestID, class string) error {
+		_, err := r.c.Arrive(r.now, id, decision.Request{ID: id, Class: class, Patience: time.Second}, time.Second)
+		return err
+	}
+	r.arrive(1, "safe")
+	if err := again(1, "safe"); !errors.Is(err, ErrOpen) {
+		t.Errorf("an open id: %v", err)
+	}
+	r.arrive(2, "keyed")
+	if err := again(3, "safe"); !errors.Is(err, ErrFull) {
+		t.Errorf("one too many: %v", err)
+	}
+	r.want("attempts beyond the bound", r.c.Ended(r.now, 1, 0, Outcome{Result: decision.Refused}), "")
+	r.heardLast("Attempt:3 Result:7")
+	r.c.Close()
+	if err := again(4, "safe"); !errors.Is(err, ErrClosed) {
+		t.Errorf("closed: %v", err)
+	}
+	r.want("abort", r.c.Abort(r.now), "final 1 aborted; final 2 aborted; calloff 2/0")
+	r.c.Ended(r.now, 2, 0, Outcome{Result: decision.Cancelled})
+	r.empty()
+}
+
+// A host that runs its handlers again must not make an effect happen twice. What provably never ran may come again.
+func TestAReplayedIDIsNotSentAgain(t *testing.T) {
+	r := newRig(t, Limits{Ids: 2, Remember: time.Second}, sendOn(nil))
+	try := func(id decision.RequestID, class string, end decision.Result) error {
+		if _, err := r.c.Arrive(r.now, id, decision.Request{ID: id, Class: class, Patience: time.Second}, time.Second); err != nil {
+			return err
+		}
+		r.c.Ended(r.now, id, 0, Outcome{Result: end})
+		r.c.Leave(r.now, id, id)
+		return nil
+	}
+	for _, c := range []struct {
+		class string
+		end   decision.Result
+		again bool
+	}{
+		{"safe", decision.Answered, true}, {"keyed", decision.Answered, false}, {"keyed", decision.Broken, false},
+		{"keyed", decision.Refused, true}, {"unsafe", decision.Cancelled, false}, {"unsafe", decision.TimedOut, false},
+		{"unsafe", decision.NoConnection, true}, {"unsafe", decision.NotSent, true}, {"unsafe", decision.Unknown, false},
+		{"unsafe", decision.AnsweredErr, false},
+	} {
+		r.now += time.Minute
+		for i, want := range []bool{true, c.again} {
+			if err := try(1, c.class, c.end); (err == nil) != want || err != nil && !errors.Is(err, ErrReplayed) {
+				t.Errorf("%s that ended as %d, time %d: %v", c.class, c.end, i+1, err)
+			}
+		}
+	}
+	r.now += time.Minute
+	for id := range decision.RequestID(50) {
+		if err := try(id, "unsafe", decision.Answered); err != nil {
+			t.Fatal(err)
+		}
+		if len(r.c.ids) > 2 || len(r.c.idFIFO) > 2 {
+			t.Fatalf("%d ids are kept, 2 may be", len(r.c.ids))
+		}
+	}
+	if err := try(49, "unsafe", decision.Answered); !errors.Is(err, ErrReplayed) {
+		t.Errorf("the latest id: %v", err)
+	}
+	r.now += time.Second
+	if err := try(49, "unsafe", decision.Answered); err != nil {
+		t.Errorf("after the time that ids are remembered: %v", err)
+	}
+}
+
+func TestOtherActionsAndEvents(t *testing.T) {
+	r := newRig(t, Limits{}, func(ev decision.Event) []decision.Action {
+		if _, ok := ev.(decision.BackendList); ok {
+			return []decision.Action{decision.Probe{Backend: 3}, decision.Subscribe{}, decision.Send{Request: 99},
+				decision.Cancel{Request: 99}, decision.Refuse{Request: 99}, nil}
+		}
+		return nil
+	})
+	r.want("list", r.c.List(r.now, decision.BackendList{}), "probe 3; subscribe")
+	if r.c.Strays() != 3 {
+		t.Errorf("%d strays, want 3", r.c.Strays())
+	}
+	r.want("probed", r.c.Probed(r.now, decision.ProbeResult{Backend: 3}), "")
+	r.heardLast("ProbeResult")
+	r.c.Began(r.now, 5, 0)
+	r.heardLast("ProbeResult")
+	r.on = sendOn(nil)
+	r.arrive(1, "safe")
+	r.c.Began(r.now, 1, 0)
+	r.heardLast("AnswerStarted")
+}
--- /dev/null
+++ b/internal/core/property_test.go
@@ -0,0 +1,261 @@
+package core
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pumicecroft/decision"
+)
+
+// TestMain has the property tests draw the same every time, unless -rapid.seed says otherwise.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// The property test drives a core with events in any order, over a decision module that does anything at all in
+// answer, the shipped one among them. Whatever happens: one Final for each request let in, none for another; every
+// Start one outcome at the decision module, and no outcome without a send; nothing left once all has ended.
+
+type seen struct {
+	finals   int
+	starts   []bool // open
+	made     []int  // attempts that were started
+	offs     []bool
+	sends    int // that the decision module asked for
+	outcomes []int
+}
+
+type world struct {
+	t     *rapid.T
+	c     *Core
+	inner Decider // nil: chance
+	now   time.Duration
+	reqs  map[decision.RequestID]*seen
+	order []decision.RequestID
+	depth int
+}
+
+// Handle is the decision module: chance, or the one that ships, watched.
+func (w *world) Handle(now time.Duration, ev decision.Event, as []decision.Action) []decision.Action {
+	if o, ok := ev.(decision.Outcome); ok {
+		s := w.reqs[o.Request]
+		if s == nil || o.Attempt >= s.sends {
+			w.t.Fatalf("an outcome without a send: %+v", o)
+		}
+		for len(s.outcomes) < s.sends {
+			s.outcomes = append(s.outcomes, 0)
+		}
+		if s.outcomes[o.Attempt]++; s.outcomes[o.Attempt] > 1 {
+			w.t.Fatalf("a second outcome: %+v", o)
+		}
+		if o.Final != (s.finals > 0) && w.c.calls[o.Request] != nil && o.Final != w.c.calls[o.Request].ended {
+			w.t.Fatalf("%+v, and the request has %d final answers", o, s.finals)
+		}
+	}
+	if w.inner != nil {
+		as = w.inner.Handle(now, ev, as)
+	} else {
+		as = w.chance(as)
+	}
+	for _, a := range as {
+		if s, ok := a.(decision.Send); ok && w.reqs[s.Request] != nil && w.c.calls[s.Request] != nil {
+			w.reqs[s.Request].sends++
+		}
+	}
+	return as
+}
+
+func (w *world) chance(as []decision.Action) []decision.Action {
+	if w.depth++; w.depth > 50 { // else sends that are not made lead to sends for ever
+		return as
+	}
+	for range rapid.IntRange(0, 2).Draw(w.t, "actions") {
+		id := rapid.SampledFrom(append(slices.Clone(w.order), 1<<40)).Draw(w.t, "id")
+		after := time.Duration(rapid.IntRange(-5, 800).Draw(w.t, "after")) * ms
+		switch rapid.IntRange(0, 6).Draw(w.t, "action") {
+		case 0, 1:
+			as = append(as, decision.Send{Request: id, Backend: 1, Timeout: max(0, after)})
+		case 2:
+			as = append(as, decision.Refuse{Request: id, RetryAfter: max(0, after)})
+		case 3:
+			as = append(as, decision.Fail{Request: id})
+		case 4:
+			as = append(as, decision.Cancel{Request: id, Attempt: rapid.IntRange(-1, 3).Draw(w.t, "attempt")})
+		case 5:
+			as = append(as, decision.SetTimer{After: after, Token: uint64(rapid.IntRange(1, 3).Draw(w.t, "token")), Request: id})
+		}
+	}
+	return as
+}
+
+// see checks the effects of one step.
+func (w *world) see(es []Effect) {
+	for _, e := range es {
+		s := w.reqs[e.Request]
+		switch e.Kind {
+		case Start:
+			if s.finals > 0 {
+				w.t.Fatalf("a start after the final answer: %+v", e)
+			}
+			if e.Due > w.now+900*ms || e.Attempt < len(s.starts) {
+				w.t.Fatalf("an odd start: %+v", e)
+			}
+			for len(s.starts) <= e.Attempt {
+				s.starts, s.offs = append(s.starts, false), append(s.offs, false)
+			}
+			s.starts[e.Attempt] = true
+			s.made = append(s.made, e.Attempt)
+		case CallOff:
+			if !s.starts[e.Attempt] || s.offs[e.Attempt] {
+				w.t.Fatalf("an attempt called off that is not out, or twice: %+v", e)
+			}
+			s.offs[e.Attempt] = true
+		case Final:
+			if s.finals++; s.finals > 1 {
+				w.t.Fatalf("a second final answer: %+v", e)
+			}
+		}
+	}
+}
+
+func (w *world) anID() decision.RequestID {
+	if len(w.order) == 0 {
+		return 0
+	}
+	return rapid.SampledFrom(w.order).Draw(w.t, "request")
+}
+
+func (w *world) step() {
+	w.depth = 0
+	w.now += time.Duration(rapid.IntRange(0, 300).Draw(w.t, "pass")) * ms
+	switch rapid.IntRange(0, 7).Draw(w.t, "event") {
+	case 0, 1, 2:
+		id := decision.RequestID(len(w.order) + 1)
+		if len(w.order) > 0 && rapid.IntRange(0, 9).Draw(w.t, "again") == 0 {
+			id = w.anID()
+		}
+		for at, ok := w.c.Next(); ok && at <= w.now; at, ok = w.c.Next() {
+			w.see(w.c.Tick(w.now)) // what is due may end the one that has the id
+		}
+		old := w.reqs[id]
+		if old != nil && w.c.calls[id] == nil {
+			return // an id that was used is used again on purpose only: see TestAReplayedIDIsNotSentAgain
+		}
+		if old == nil {
+			w.reqs[id] = &seen{}
+			w.order = append(w.order, id)
+		}
+		class := rapid.SampledFrom([]string{"safe", "keyed", "unsafe"}).Draw(w.t, "class")
+		es, err := w.c.Arrive(w.now, w.reqs[id], decision.Request{ID: id, Class: class, Plan: "p", Units: 1, Spread: 1,
+			Patience: 900 * ms}, 950*ms)
+		w.see(es)
+		if (err != nil) != (old != nil) {
+			w.t.Fatalf("request %d: %v, open before: %v", id, err, old != nil)
+		}
+	case 3, 4:
+		id := w.anID()
+		if s := w.reqs[id]; s != nil && len(s.starts) > 0 {
+			w.end(id, rapid.IntRange(0, len(s.starts)-1).Draw(w.t, "attempt"))
+		}
+	case 5:
+		if id := w.anID(); w.reqs[id] != nil {
+			w.see(w.c.Leave(w.now, w.reqs[id], id))
+		}
+	case 6:
+		w.see(w.c.Tick(w.now))
+	case 7:
+		w.see(w.c.List(w.now, decision.BackendList{Kind: decision.ListFull, Backends: []decision.BackendInfo{{ID: 1}, {ID: 2, Cell: 1}}}))
+	}
+}
+
+func (w *world) end(id decision.RequestID, attempt int) {
+	s := w.reqs[id]
+	if !s.starts[attempt] {
+		return
+	}
+	result := decision.Result(rapid.IntRange(0, int(decision.Unknown)).Draw(w.t, "result"))
+	w.see(w.c.Ended(w.now, id, attempt, Outcome{Result: result})) // what was due may call it off first
+	s.starts[attempt] = false
+}
+
+func (w *world) run() {
+	for range rapid.IntRange(1, 60).Draw(w.t, "steps") {
+		w.step()
+	}
+	// All time passes, and each attempt that was started ends.
+	for range 200 {
+		w.depth = 0
+		if at, ok := w.c.Next(); ok {
+			w.now = max(w.now, at)
+		}
+		w.see(w.c.Tick(w.now))
+		for _, id := range w.order {
+			for n := range w.reqs[id].starts {
+				w.depth = 0
+				w.end(id, n)
+			}
+		}
+		if w.c.Open() == 0 {
+			break
+		}
+	}
+	if w.c.Open() != 0 {
+		w.t.Fatalf("%d requests are left", w.c.Open())
+	}
+	for _, id := range w.order {
+		s := w.reqs[id]
+		if s.finals != 1 {
+			w.t.Fatalf("request %d has %d final answers", id, s.finals)
+		}
+		for _, n := range s.made {
+			if n >= len(s.outcomes) || s.outcomes[n] != 1 {
+				w.t.Fatalf("request %d: attempts %v were made, and the outcomes are %v", id, s.made, s.outcomes)
+			}
+		}
+	}
+	for _, t := range w.c.timers {
+		if t.call != nil || t.token != 0 {
+			w.t.Fatalf("a timer of a request is left: %+v", t)
+		}
+	}
+}
+
+func TestAnyOrderOfEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, reqs: map[decision.RequestID]*seen{}}
+		w.c = New(w, classes, Limits{Attempts: 4}, 0)
+		w.run()
+	})
+}
+
+func TestAnyOrderOfEventsWithTheShippedModule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, reqs: map[decision.RequestID]*seen{}}
+		set := decision.Settings{FrontDoors: 1, MaxAttempts: 3, CanCancel: rapid.Bool().Draw(t, "cancel"),
+			MaxRetryAfter: time.Second, Plans: []decision.Plan{{Name: "p", Rate: 50, Burst: 50, Price: 1}}}
+		for _, c := range classes {
+			c.Aim, c.Deadline, c.Worth, c.KeyWindow = time.Second, 2*time.Second, 1, 5*time.Second
+			set.Classes = append(set.Classes, c)
+		}
+		g, err := decision.New(set, rapid.Uint64().Draw(t, "seed"), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.inner = g
+		w.c = New(w, set.Classes, Limits{}, 0)
+		w.run()
+		if w.c.Strays() != 0 {
+			t.Fatalf("%d actions of the decision module fit no request", w.c.Strays())
+		}
+	})
+}
--- /dev/null
+++ b/purity_test.go
@@ -0,0 +1,111 @@
+package pumicecroft
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// purePackages do no I/O, read no clock, take no lock and start no goroutine, so that the same code runs under
+// real sockets, under a virtual clock and in the simulator.
+var purePackages = []string{"decision", "internal/core", "membership"}
+
+var impureImports = []string{"net", "os", "sync", "log", "syscall", "context", "io", "runtime", "testing", "unsafe"}
+
+var pureTime = []string{"Duration", "Time", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute", "Hour", "Unix",
+	"UnixMilli", "Month", "Weekday", "UTC", "Date", "ParseDuration"}
+
+var pureRand = []string{"New", "NewPCG", "Rand", "Source", "PCG"}
+
+// impurities names what a file does that a pure package must not.
+func impurities(name string, src any) ([]string, error) {
+	fset := token.NewFileSet()
+	file, err := parser.ParseFile(fset, name, src, 0)
+	if err != nil {
+		return nil, err
+	}
+	var found []string
+	bad := func(pos token.Pos, what string) { found = append(found, fset.Position(pos).String()+": "+what) }
+	for _, im := range file.Imports {
+		path, _ := strconv.Unquote(im.Path.Value)
+		first, _, _ := strings.Cut(path, "/")
+		if slices.Contains(impureImports, first) || path == "math/rand" || im.Name != nil {
+			bad(im.Pos(), "imports "+path)
+		}
+		if rest, ok := strings.CutPrefix(path, "pumicecroft"); ok &&
+			(rest == "" || !slices.Contains(purePackages, strings.TrimPrefix(rest, "/"))) {
+			bad(im.Pos(), "imports "+path+", which is not pure")
+		}
+	}
+	ast.Inspect(file, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.GoStmt:
+			bad(n.Pos(), "starts a goroutine")
+		case *ast.ChanType, *ast.SelectStmt:
+			bad(n.Pos(), "uses channels")
+		case *ast.SelectorExpr:
+			pkg, ok := n.X.(*ast.Ident)
+			if ok && pkg.Obj == nil && (pkg.Name == "time" && !slices.Contains(pureTime, n.Sel.Name) ||
+				pkg.Name == "rand" && !slices.Contains(pureRand, n.Sel.Name)) {
+				bad(n.Pos(), "uses "+pkg.Name+"."+n.Sel.Name)
+			}
+		}
+		return true
+	})
+	return found, nil
+}
+
+func TestPurePackages(t *testing.T) {
+	for _, dir := range purePackages {
+		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: %v, %v", dir, files, err)
+		}
+		for _, name := range files {
+			if strings.HasSuffix(name, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			found, err := impurities(name, text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, f := range found {
+				t.Error(f)
+			}
+		}
+	}
+}
+
+// A check that finds nothing anywhere would pass as well.
+func TestImpuritiesAreSeen(t *testing.T) {
+	for name, src := range map[string]string{
+		"net":        `import "net/http"`,
+		"lock":       `import "sync"`,
+		"own driver": `import "pumicecroft/internal/drive"`,
+		"the root":   `import "pumicecroft"`,
+		"clock":      `import "time"; func f() time.Time { return time.Now() }`,
+		"timer":      `import "time"; var f = time.AfterFunc`,
+		"chance":     `import "math/rand/v2"; var x = rand.IntN(3)`,
+		"renamed":    `import x "time"`,
+		"goroutine":  `func f() { go f() }`,
+		"channel":    `var c chan int`,
+	} {
+		if found, err := impurities(name, "package p; "+src); err != nil || len(found) == 0 {
+			t.Errorf("%s: %v, %v", name, found, err)
+		}
+	}
+	if found, err := impurities("good", `package p; import ("time"; "math/rand/v2"; "pumicecroft/decision")
+		var r = rand.New(rand.NewPCG(1, 2)); var d time.Duration; var x decision.Request`); err != nil || len(found) > 0 {
+		t.Errorf("what is pure: %v, %v", found, err)
+	}
+}
