Add stand-ins, and a demo that runs a whole deployment on loopback

Change: internal/standin has backends (slots, queue, drain, cold start and fall, memories of keys by cell, scripted faults), discovery with its watch, the counter, a meter, and clients' requests; internal/demo plays them against a door while one backend drains, one dies, one starts cold and one customer floods; pumicecroft demo prints a line a second and the counts.

--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -1,11 +1,17 @@
-// Command pumicecroft is the front door as a daemon. Without an argument it is configured by the file that
-// NODE_CONFIG names and serves until SIGTERM; SIGHUP makes it read the file again and follow the discovery that
-// it names then.
+// Command pumicecroft is the front door as a daemon.
+//
+//	pumicecroft              serve, configured by the file that NODE_CONFIG names, until SIGTERM; SIGHUP makes it
+//	                         read the file again and follow the discovery that it names then
+//	pumicecroft check FILE   check an operator's file and name key and line of each error
+//	pumicecroft demo         run a whole deployment on loopback for a short while: see demo -h
 package main
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,14 +20,25 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx, os.Args[1:]); err != nil {
+	if err := run(ctx, os.Args[1:], os.Stdout); err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(os.Stderr, "pumicecroft:", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, args []string) error {
-	return serve(ctx, os.Getenv("NODE_CONFIG"), hangups(ctx))
+func run(ctx context.Context, args []string, out io.Writer) error {
+	if len(args) == 0 {
+		path := os.Getenv("NODE_CONFIG")
+		if path == "" {
+			return errors.New("NODE_CONFIG names no file; to see the program at work: pumicecroft demo")
+		}
+		return serve(ctx, path, hangups(ctx))
+	}
+	switch args[0] {
+	case "demo":
+		return runDemo(ctx, args[1:], out)
+	}
+	return fmt.Errorf("there is no command %q; there are check and demo, and without a command it serves", args[0])
 }
 
 // hangups tells of SIGHUP. One that waits stands for all that came since: the file is read after it.
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,399 @@
+// Package demo runs a whole deployment on loopback for a short while: stand-in backends, discovery and counter, a
+// front door on a socket, and clients. Meanwhile one backend drains, one dies, one starts cold and one customer
+// floods. It counts what clients got and what backends saw.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/decision"
+	"pumicecroft/internal/httpfront"
+	"pumicecroft/internal/platform"
+	"pumicecroft/internal/standin"
+)
+
+// Options say how long and where.
+type Options struct {
+	Duration time.Duration
+	Addr     string    // the door's, such as 127.0.0.1:0
+	Out      io.Writer // a line a second, and one at the end
+	Seed     uint64    // of the clients' chance
+}
+
+// Counts are what became of the clients' tries.
+type Counts struct {
+	Asked, Served, Refused, Advised, Failed, Lost int
+	Duplicates                                    int
+}
+
+// String is the demo's last line.
+func (c Counts) String() string {
+	return fmt.Sprintf("served=%d refused=%d failed=%d lost=%d duplicates=%d", c.Served, c.Refused, c.Failed, c.Lost, c.Duplicates)
+}
+
+// OK tells whether nothing was lost or duplicated.
+func (c Counts) OK() bool { return c.Lost == 0 && c.Duplicates == 0 && c.Asked > 0 }
+
+const (
+	customers  = 24
+	perSecond  = 4.0  // requests of an ordinary customer
+	flood      = 60.0 // times as many of the one that floods
+	listLag    = 200 * time.Millisecond
+	deathLag   = time.Second // until discovery notices a death
+	warmWithin = 4 * time.Second
+)
+
+// Settings are the demo's deployment: one door, three classes, an ordinary plan and one with a hard ceiling.
+func Settings() decision.Settings {
+	return decision.Settings{
+		FrontDoors: 1, MaxAttempts: 4, CanCancel: true, MeterPeriod: 500 * time.Millisecond, LargestUnits: 6,
+		MaxRetryAfter: time.Second, ColdFrom: 0.2, WarmWithin: warmWithin, FallMultiple: 4, FallFor: 2 * time.Second,
+		DrainGrace: 2 * time.Second,
+		Classes: []decision.Class{
+			{Name: "id-check", Aim: 500 * time.Millisecond, Deadline: 2 * time.Second, Worth: 3},
+			{Name: "stock-lookup", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1},
+			{Name: "activate", Effect: decision.Keyed, Group: decision.GroupCell, KeyWindow: 5 * time.Second,
+				Aim: time.Second, Deadline: 3 * time.Second, Worth: 5},
+		},
+		Plans: []decision.Plan{
+			{Name: "shop", Rate: 10, Burst: 20, Price: 1},
+			{Name: "flagship", Rate: 20, Burst: 20, Price: 1.6, CeilingRate: 40, CeilingBurst: 40, CeilingSlack: 6},
+		},
+	}
+}
+
+var work = map[string]time.Duration{"id-check": 15 * time.Millisecond, "stock-lookup": 30 * time.Millisecond,
+	"activate": 45 * time.Millisecond}
+
+// stage is all that runs.
+type stage struct {
+	options   Options
+	settings  decision.Settings
+	ledger    *standin.Ledger
+	meter     *standin.Meter
+	cells     []*standin.Cell
+	discovery *standin.Discovery
+	counter   *standin.Counter
+	backends  []*standin.Backend
+	addr      string
+	transport *http.Transport
+	close     []func()
+
+	mu       sync.Mutex
+	counts   Counts
+	second   Counts
+	took     []time.Duration // of this second's served
+	drained  string
+	drainAt  time.Time       // when discovery told it
+	flooding map[string]bool // ids of the customer that floods
+}
+
+// Run runs the demo. The error tells what could not be started, or that ctx ended first.
+func Run(ctx context.Context, o Options) (Counts, error) {
+	s := &stage{options: o, settings: Settings(), ledger: &standin.Ledger{}, flooding: map[string]bool{}, meter: &standin.Meter{},
+		transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	defer func() {
+		for _, f := range slices.Backward(s.close) {
+			f()
+		}
+	}()
+	if err := s.start(); err != nil {
+		return Counts{}, err
+	}
+	fmt.Fprintf(o.Out, "a door on %s, %d backends, discovery on %s, the counter on %s; %v\n", s.addr, len(s.backends),
+		s.discovery.Addr(), s.counter.Addr(), o.Duration)
+	playing, stop := context.WithTimeout(ctx, o.Duration)
+	defer stop()
+	var clients sync.WaitGroup
+	for i := range customers {
+		clients.Go(func() { s.customer(playing, ctx, i) })
+	}
+	story := make(chan struct{})
+	go func() {
+		defer close(story)
+		s.story(playing)
+	}()
+	s.report(playing)
+	clients.Wait()
+	<-story
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Duplicates = len(s.ledger.Doubled())
+	s.rules()
+	fmt.Fprintln(o.Out, s.counts)
+	return s.counts, ctx.Err()
+}
+
+func (s *stage) backend(i int, cold bool) (*standin.Backend, error) {
+	b, err := standin.StartBackend(standin.BackendConfig{Name: fmt.Sprintf("node-%d", i), Zone: fmt.Sprintf("floor-%d", i%2+2),
+		Kind: "standard", Cell: s.cells[i%2], Slots: 4, Queue: 40, Work: func(class string) time.Duration { return work[class] },
+		Keyed: func(class string) bool { return class == "activate" }, ColdFrom: 0.25, WarmWithin: warmWithin,
+		FallMultiple: 4, FallFor: 2 * time.Second, Cold: cold, Ledger: s.ledger, Meter: s.meter})
+	if err == nil {
+		s.backends = append(s.backends, b)
+		s.close = append(s.close, b.Kill)
+	}
+	return b, err
+}
+
+func (s *stage) start() (err error) {
+	if s.discovery, err = standin.StartDiscovery(); err != nil {
+		return err
+	}
+	s.close = append(s.close, s.discovery.Close)
+	if s.counter, err = standin.StartCounter(); err != nil {
+		return err
+	}
+	s.close = append(s.close, s.counter.Close)
+	for n := range 2 {
+		s.cells = append(s.cells, &standin.Cell{Number: n, Window: 5 * time.Second})
+	}
+	for i := range 6 {
+		b, err := s.backend(i, false)
+		if err != nil {
+			return err
+		}
+		s.discovery.Set(b.Endpoint())
+	}
+	list := s.discovery.List()
+	door, err := pumicecroft.New(pumicecroft.Config{Settings: s.settings, Known: list.Members()},
+		pumicecroft.WithSource(platform.Discovery{Addr: s.discovery.Addr(), From: list.Seq}))
+	if err != nil {
+		return err
+	}
+	s.close = append(s.close, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		door.Close(ctx)
+	})
+	ln, err := net.Listen("tcp", s.options.Addr)
+	if err != nil {
+		return err
+	}
+	s.addr = ln.Addr().String()
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		httpfront.NewServer(door, 512, 3*time.Second, slog.New(slog.DiscardHandler)).Run(ctx, ln)
+	}()
+	s.close = append(s.close, func() { s.transport.CloseIdleConnections(); stop(); <-ended })
+	return nil
+}
+
+// story is what happens to the backends, at shares of the time.
+func (s *stage) story(ctx context.Context) {
+	at := func(share float64, what string, do func()) bool {
+		select {
+		case <-time.After(time.Duration(share * float64(s.options.Duration))):
+		case <-ctx.Done():
+			return false
+		}
+		fmt.Fprintln(s.options.Out, "  --", what)
+		do()
+		return true
+	}
+	later := func(d time.Duration, do func()) {
+		select {
+		case <-time.After(d):
+			do()
+		case <-ctx.Done():
+		}
+	}
+	ok := at(0.2, "node-0 drains", func() {
+		s.backends[0].Drain()
+		later(listLag, func() {
+			s.discovery.SetHealth("node-0", "Terminating")
+			s.mu.Lock()
+			s.drained, s.drainAt = "node-0", time.Now()
+			s.mu.Unlock()
+		})
+	}) && at(0.2, "node-1 dies", func() {
+		s.backends[1].Kill()
+		later(deathLag, func() { s.discovery.SetHealth("node-1", "Gone") })
+	})
+	if ok {
+		at(0.15, "node-6 starts cold", func() {
+			if b, err := s.backend(6, true); err == nil {
+				later(listLag, func() { s.discovery.Set(b.Endpoint()) })
+			}
+		})
+	}
+}
+
+// customer asks at its rate until playing ends; what it has asked then it still waits for.
+func (s *stage) customer(playing, ctx context.Context, i int) {
+	rng := rand.New(rand.NewPCG(s.options.Seed, uint64(i)))
+	plan, rate, from, to := "shop", perSecond, 0.0, 1.0
+	if i == 0 {
+		plan, rate, from, to = "flagship", perSecond*flood, 0.3, 0.7
+	}
+	start := time.Now()
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	for n := uint64(0); ; n++ {
+		now := rate
+		if share := float64(time.Since(start)) / float64(s.options.Duration); share < from || share > to {
+			now = perSecond
+		}
+		select {
+		case <-time.After(time.Duration(rng.ExpFloat64() / now * float64(time.Second))):
+		case <-playing.Done():
+			return
+		}
+		ask := standin.Ask{Customer: uint64(i + 1), Plan: plan, Units: 1, Timeout: 2 * time.Second}
+		switch p := rng.Float64(); {
+		case p < 0.49:
+			ask.Class = "id-check"
+		case p < 0.88:
+			ask.Class = "stock-lookup"
+		default:
+			ask.Class, ask.Key, ask.Body = "activate", fmt.Sprintf("%08x%016x", i, rng.Uint64()), "sim=1"
+		}
+		ids := [2]uint64{rng.Uint64(), rng.Uint64()}
+		asking.Go(func() { s.ask(ctx, ask, ids) })
+	}
+}
+
+// ask is one request and, after a refusal that says when to come back, one retry.
+func (s *stage) ask(ctx context.Context, ask standin.Ask, ids [2]uint64) {
+	for try, id := range ids {
+		ask.ID = id
+		s.meter.Enter(ask.RequestID(), ask.Customer, ask.Units, s.rate(ask.Plan))
+		if ask.Plan == "flagship" {
+			s.mu.Lock()
+			s.flooding[ask.RequestID()] = true
+			s.mu.Unlock()
+		}
+		reply := ask.Do(ctx, s.transport, s.addr)
+		s.meter.Forget(ask.RequestID())
+		s.note(reply)
+		if reply.String() != "refused" || reply.RetryAfter == "" || try > 0 {
+			return
+		}
+		wait, err := time.ParseDuration(reply.RetryAfter + "s")
+		if err != nil {
+			return
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *stage) rate(plan string) float64 {
+	for _, p := range s.settings.Plans {
+		if p.Name == plan {
+			return p.Rate
+		}
+	}
+	return 0
+}
+
+func (s *stage) note(r standin.Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range []*Counts{&s.counts, &s.second} {
+		c.Asked++
+		switch r.String() {
+		case "served":
+			c.Served++
+		case "refused":
+			c.Refused++
+			if r.RetryAfter != "" {
+				c.Advised++
+			}
+		case "lost":
+			c.Lost++
+		default:
+			c.Failed++
+		}
+	}
+	if r.Status == http.StatusOK {
+		s.took = append(s.took, r.Took)
+	}
+	if r.Status == 0 {
+		fmt.Fprintln(s.options.Out, "  lost:", r.Err)
+	}
+}
+
+// report prints a line a second.
+func (s *stage) report(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	start := time.Now()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		s.mu.Lock()
+		slices.Sort(s.took)
+		c := s.second
+		fmt.Fprintf(s.options.Out, "%3.0fs asked=%d served=%d refused=%d (with Retry-After %d) failed=%d p50=%v p99=%v\n",
+			time.Since(start).Seconds(), c.Asked, c.Served, c.Refused, c.Advised, c.Failed, quantile(s.took, 0.5), quantile(s.took, 0.99))
+		s.second, s.took = Counts{}, s.took[:0]
+		s.mu.Unlock()
+	}
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))].Round(100 * time.Microsecond)
+}
+
+// rules prints what the backends saw of the other rules; it wants the lock.
+func (s *stage) rules() {
+	late := 0
+	for _, a := range s.ledger.Attempts() {
+		if s.drained != "" && a.Backend == s.drained && a.At.After(s.drainAt.Add(s.settings.DrainGrace)) {
+			late++
+		}
+	}
+	fallen := 0
+	for _, b := range s.backends {
+		if b.Fallen() {
+			fallen++
+		}
+	}
+	fmt.Fprintf(s.options.Out, "sent to the drained backend after its grace: %d; cold backends that fell: %d; "+
+		"lowest store of the flooding customer's hard ceiling: %.1f units (%.1f allowed)\n", late, fallen, s.ceiling(),
+		-s.settings.Plans[1].CeilingSlack)
+}
+
+// ceiling plays what was sent on for the flooding customer against its hard ceiling, each try once, and gives how
+// low the store went.
+func (s *stage) ceiling() float64 {
+	plan := s.settings.Plans[1]
+	store, least := plan.CeilingBurst, plan.CeilingBurst
+	var last time.Time
+	seen := map[string]bool{}
+	for _, a := range s.ledger.Attempts() {
+		if !s.flooding[a.ID] || seen[a.ID] {
+			continue
+		}
+		seen[a.ID] = true
+		if !last.IsZero() {
+			store = min(plan.CeilingBurst, store+plan.CeilingRate*a.At.Sub(last).Seconds())
+		}
+		last = a.At
+		store--
+		least = min(least, store)
+	}
+	return least
+}
--- /dev/null
+++ b/internal/standin/backend.go
@@ -0,0 +1,268 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"pumicecroft/internal/platform"
+)
+
+// Act is what a backend does with one attempt in place of its work.
+type Act int
+
+// The acts.
+const (
+	Work         Act = iota // as a backend does: wait for a slot, work, answer
+	Hang                    // run, and never answer; ends when the connection does
+	HangUnrun               // never run and never answer
+	RunAndBreak             // run, and reset the connection in place of an answer
+	RunAndError             // run, and answer 500
+	TurnAway                // 503 with the proof that it has not run
+	RunAndSpoil             // run, and answer with noise
+	RunAndCut               // run, and end the connection midway through the answer
+	BreakUnheard            // reset the connection; it has not run, which the other side cannot know
+)
+
+// BackendConfig says what a backend is like.
+type BackendConfig struct {
+	Name string
+	Zone string
+	Kind string
+	Cell *Cell
+	// Slots work at once, Queue wait; what is beyond is turned away. 0: no bound on either.
+	Slots, Queue int
+	// Work is how long a request of a class works, on a warm backend.
+	Work func(class string) time.Duration
+	// Act overrides what happens with an attempt; nil: Work.
+	Act func(a Attempt) Act
+	// Keyed tells which classes have effects that must stay single.
+	Keyed func(class string) bool
+	// A backend that has just started has ColdFrom of its capacity, and all of it after WarmWithin. Sent more than
+	// FallMultiple times what it can do for FallFor, it falls over and stays down. FallMultiple 0: it does not.
+	ColdFrom     float64
+	WarmWithin   time.Duration
+	FallMultiple float64
+	FallFor      time.Duration
+	// Cold starts it cold; else it has run for long.
+	Cold   bool
+	Ledger *Ledger
+	Meter  *Meter // nil: answers tell no use
+}
+
+// Backend is a stand-in for one backend.
+type Backend struct {
+	config BackendConfig
+	addr   string
+	born   time.Time // zero: long ago
+	server *http.Server
+	slots  chan struct{}
+
+	mu       sync.Mutex
+	draining bool
+	fallen   bool
+	waiting  int
+	recent   []time.Time // arrivals within FallFor, while cold
+}
+
+// StartBackend starts a backend on a loopback port of the system's choosing.
+func StartBackend(c BackendConfig) (*Backend, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	b := &Backend{config: c, addr: ln.Addr().String()}
+	if c.Slots > 0 {
+		b.slots = make(chan struct{}, c.Slots)
+	}
+	if c.Cold {
+		b.born = time.Now()
+	}
+	b.server = &http.Server{Handler: b, ErrorLog: log.New(io.Discard, "", 0)}
+	go b.server.Serve(ln)
+	return b, nil
+}
+
+// Addr is where it listens.
+func (b *Backend) Addr() string { return b.addr }
+
+// Endpoint is its entry in discovery's list.
+func (b *Backend) Endpoint() platform.Endpoint {
+	e := platform.Endpoint{Host: b.config.Name, Dial: b.addr, Site: b.config.Zone, Class: b.config.Kind, Health: "Ready", Share: 1}
+	if b.config.Cell != nil {
+		e.Block = b.config.Cell.Number
+	}
+	if !b.born.IsZero() {
+		e.BornMS = b.born.UnixMilli()
+	}
+	return e
+}
+
+// Drain has it turn new work away and end what it has.
+func (b *Backend) Drain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.draining = true
+}
+
+// Kill ends it at once: its connections are reset, new ones refused.
+func (b *Backend) Kill() { b.server.Close() }
+
+// Fallen tells whether it was sent too much while it was cold.
+func (b *Backend) Fallen() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fallen
+}
+
+// warmth is the share of its capacity that it has.
+func (b *Backend) warmth(now time.Time) float64 {
+	if b.born.IsZero() || b.config.WarmWithin <= 0 {
+		return 1
+	}
+	age := float64(now.Sub(b.born)) / float64(b.config.WarmWithin)
+	return min(1, b.config.ColdFrom+(1-b.config.ColdFrom)*age)
+}
+
+// arrive counts an arrival and tells whether the attempt is taken.
+func (b *Backend) arrive(now time.Time, work time.Duration) (taken bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if w := b.warmth(now); w < 1 && b.config.FallMultiple > 0 && b.config.Slots > 0 && work > 0 {
+		for len(b.recent) > 0 && now.Sub(b.recent[0]) > b.config.FallFor {
+			b.recent = b.recent[1:]
+		}
+		b.recent = append(b.recent, now)
+		can := w * float64(b.config.Slots) / work.Seconds() * b.config.FallFor.Seconds()
+		if now.Sub(b.born) > b.config.FallFor && float64(len(b.recent)) > b.config.FallMultiple*can {
+			b.fallen = true
+		}
+	}
+	if b.fallen || b.draining || b.config.Queue > 0 && b.waiting >= b.config.Queue+b.config.Slots {
+		return false
+	}
+	b.waiting++
+	return true
+}
+
+func (b *Backend) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting--
+}
+
+// ServeHTTP is one attempt.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if r.Header.Get("Request-Id") == "" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	if err != nil {
+		return // it has not come whole
+	}
+	c := &b.config
+	now := time.Now()
+	a := &Attempt{Backend: c.Name, Class: class, ID: r.Header.Get("Request-Id"), Key: r.Header.Get("Idempotency-Key"),
+		At: now, Conn: r.RemoteAddr, Body: string(body), Timeout: r.Header.Get("Request-Timeout")}
+	if c.Cell != nil {
+		a.Cell = c.Cell.Number
+	}
+	c.Ledger.add(a)
+	act := Work
+	if c.Act != nil {
+		act = c.Act(*a)
+	}
+	work := time.Duration(0)
+	if c.Work != nil {
+		work = c.Work(class)
+	}
+	if act == TurnAway || act == Work && !b.arrive(now, work) {
+		c.Ledger.end(a, "turned away", false)
+		w.Header().Set("Not-Started", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if act == Work {
+		defer b.leave()
+		if !b.work(r.Context(), time.Duration(float64(work)/b.warmth(now))) {
+			c.Ledger.end(a, "given up", false) // the client left while it waited or worked
+			return
+		}
+	}
+	effect := act != HangUnrun && act != BreakUnheard && (c.Keyed == nil || c.Keyed(class)) && c.Cell.first(a.Key, now)
+	if c.Meter != nil {
+		if use, ok := c.Meter.count(a.ID, now); ok {
+			w.Header().Set("X-RateLimit-Used", strconv.FormatFloat(use, 'f', 1, 64))
+		}
+	}
+	switch act {
+	case Work:
+		c.Ledger.end(a, "served", effect)
+		io.WriteString(w, answerTo(a.ID))
+	case RunAndError:
+		c.Ledger.end(a, "error", effect)
+		w.WriteHeader(http.StatusInternalServerError)
+	case Hang, HangUnrun:
+		c.Ledger.end(a, "hung", effect)
+		<-r.Context().Done()
+	default:
+		c.Ledger.end(a, map[Act]string{RunAndBreak: "broken", BreakUnheard: "broken", RunAndSpoil: "spoilt", RunAndCut: "cut"}[act], effect)
+		b.spoil(w, act)
+	}
+}
+
+// answerTo is the body that only this request's answer has.
+func answerTo(id string) string { return "done " + id + "\n" }
+
+// Answer is the body that a backend answers a request id with.
+func Answer(id string) string { return answerTo(id) }
+
+// work waits for a slot and works; false if the client left meanwhile.
+func (b *Backend) work(ctx context.Context, d time.Duration) bool {
+	if b.slots != nil {
+		select {
+		case b.slots <- struct{}{}:
+			defer func() { <-b.slots }()
+		case <-ctx.Done():
+			return false
+		}
+	}
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// spoil ends an attempt below HTTP.
+func (b *Backend) spoil(w http.ResponseWriter, act Act) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	switch act {
+	case RunAndSpoil:
+		io.WriteString(conn, "\x00\x01noise\r\n\r\n")
+	case RunAndCut:
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+	default:
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/counter.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"io"
+	"log"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Counter is a stand-in for the platform's quota counter: it adds an amount to a named number and tells the total.
+type Counter struct {
+	addr   string
+	server *http.Server
+
+	mu     sync.Mutex
+	totals map[string]total
+	closed bool // it turns all calls away
+	calls  int
+}
+
+type total struct {
+	sum   float64
+	until time.Time
+}
+
+// StartCounter starts one on a loopback port of the system's choosing.
+func StartCounter() (*Counter, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	c := &Counter{addr: ln.Addr().String(), totals: map[string]total{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /tally/{name}", c.tally)
+	c.server = &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0)}
+	go c.server.Serve(ln)
+	return c, nil
+}
+
+// Addr is where it listens.
+func (c *Counter) Addr() string { return c.addr }
+
+// Close ends it.
+func (c *Counter) Close() { c.server.Close() }
+
+// Lose has it forget every number, as a restart does.
+func (c *Counter) Lose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.totals)
+}
+
+// TurnAway has it answer 503, or not any more.
+func (c *Counter) TurnAway(yes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = yes
+}
+
+// Calls is how many calls it has answered with a total.
+func (c *Counter) Calls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+// most is the largest amount of a call, and the longest that a name is kept without one.
+const (
+	mostAmount = 1e9
+	mostKeep   = 60_000
+	mostName   = 64
+)
+
+func (c *Counter) tally(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	n, err := strconv.ParseFloat(r.URL.Query().Get("n"), 64)
+	keep, err2 := strconv.Atoi(r.URL.Query().Get("keep_ms"))
+	if err != nil || err2 != nil || name == "" || len(name) > mostName || math.IsNaN(n) || math.Abs(n) > mostAmount || keep < 1 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	now := time.Now()
+	t, ok := c.totals[name]
+	if !ok || !now.Before(t.until) {
+		t = total{until: now.Add(time.Duration(min(keep, mostKeep)) * time.Millisecond)}
+	}
+	t.sum += n
+	c.totals[name] = t
+	c.calls++
+	io.WriteString(w, strconv.FormatFloat(t.sum, 'g', 7, 64))
+}
