Middleware for net/http and gin, and one conformance suite for all fronts

Need: hosts that have a server of their own, and proof that every front obeys the five rules and decides alike. Change: middleware/nethttp and middleware/gin; conformance starts a front anew for each case, asks it over HTTP and judges it by what clients got and what reached the stand-ins; internal/daemon is the program without its command. Found by the suite and mended: under gin a served answer carried the 404 that gin has in mind for paths without a handler; the status is written aloud now.

--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -15,6 +15,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"pumicecroft/internal/daemon"
 )
 
 func main() {
@@ -32,7 +34,7 @@
 		if path == "" {
 			return errors.New("NODE_CONFIG names no file; to see the program at work: pumicecroft demo")
 		}
-		return serve(ctx, path, hangups(ctx))
+		return daemon.Serve(ctx, path, daemon.Hangups(ctx))
 	}
 	switch args[0] {
 	case "demo":
@@ -40,25 +42,3 @@
 	}
 	return fmt.Errorf("there is no command %q; there are check and demo, and without a command it serves", args[0])
 }
-
-// hangups tells of SIGHUP. One that waits stands for all that came since: the file is read after it.
-func hangups(ctx context.Context) <-chan struct{} {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	told := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-signals:
-			case <-ctx.Done():
-				return
-			}
-			select {
-			case told <- struct{}{}:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	return told
-}
--- a/cmd/pumicecroft/main_test.go
+++ b/cmd/pumicecroft/main_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"pumicecroft/internal/daemon"
 )
 
 const config = `{"name":"n0","listen":"%s","discovery":"%s","seed":"1",
@@ -34,7 +36,7 @@
 func TestEndsByItselfAfterSIGTERM(t *testing.T) {
 	ctx, sigterm := context.WithCancel(context.Background())
 	sigterm()
-	if err := serve(ctx, write(t, fmt.Sprintf(config, "127.0.0.1:0", "127.0.0.1:1")), nil); err != nil {
+	if err := daemon.Serve(ctx, write(t, fmt.Sprintf(config, "127.0.0.1:0", "127.0.0.1:1")), nil); err != nil {
 		t.Error(err)
 	}
 }
@@ -50,7 +52,7 @@
 		"bad file":      write(t, "{"),
 		"address taken": write(t, fmt.Sprintf(config, taken.Addr(), "127.0.0.1:1")),
 	} {
-		if err := serve(context.Background(), path, nil); err == nil || strings.Contains(err.Error(), "\n") {
+		if err := daemon.Serve(context.Background(), path, nil); err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v, want an error of one line", name, err)
 		}
 	}
--- /dev/null
+++ b/conformance/conformance.go
@@ -0,0 +1,718 @@
+// Package conformance is the five rules as one suite. It is written once and runs unchanged against whatever
+// front is given to it: the daemon as a process, the library's handler, the middlewares. A front is started anew
+// for each case from the platform's configuration, is asked over HTTP, and is judged by what its clients got and
+// by what reached the stand-in backends.
+//
+// Every case checks the rules by itself. The cases whose course does not hang on moments of time also leave lines
+// in a Transcript, which must be the same on every front.
+package conformance
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pumicecroft/internal/standin"
+)
+
+// Front is a front door that serves.
+type Front interface {
+	// Addr is where it is asked, over HTTP/1.1.
+	Addr() string
+	// Stop ends it as planned restarts do: it returns when all that was taken has its answer.
+	Stop() error
+}
+
+// Starter starts a front from the text of a platform's configuration. It is up when Start returns, and is stopped
+// at the end of the test if it was not before.
+type Starter func(t testing.TB, config string) Front
+
+// Transcript holds what the cases tell, by case.
+type Transcript struct {
+	mu    sync.Mutex
+	lines map[string][]string
+}
+
+func (tr *Transcript) add(name, format string, args ...any) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if tr.lines == nil {
+		tr.lines = map[string][]string{}
+	}
+	tr.lines[name] = append(tr.lines[name], fmt.Sprintf(format, args...))
+}
+
+// String is the transcript, the cases in the order of their names.
+func (tr *Transcript) String() string {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(tr.lines)) {
+		fmt.Fprintf(&b, "%s\n  %s\n", name, strings.Join(tr.lines[name], "\n  "))
+	}
+	return b.String()
+}
+
+// patience is how long a case waits for something that must happen.
+const patience = 20 * time.Second
+
+// timeout is a client's, of requests that are to have time enough on a busy machine, and short of those that wait
+// for the end of it.
+const (
+	timeout = 15 * time.Second
+	short   = 1200 * time.Millisecond
+)
+
+// figures are what a case may set in the configuration.
+type figures struct {
+	doors, me  int
+	plans      string // JSON
+	meter      bool
+	noCancel   bool
+	aimMS      int
+	deadlineMS int
+}
+
+const usualPlans = `{"name":"shop","units_per_s":100000,"burst":100000,"value_factor":1}`
+
+// rig is one case's deployment.
+type rig struct {
+	t         *testing.T
+	front     Front
+	ledger    *standin.Ledger
+	discovery *standin.Discovery
+	transport *http.Transport
+	backends  []*standin.Backend
+	lastID    uint64
+	mu        sync.Mutex
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	d, err := standin.StartDiscovery()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, ledger: &standin.Ledger{}, discovery: d, lastID: 0x5ca1ab1e00000000,
+		transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}}
+	t.Cleanup(func() {
+		r.transport.CloseIdleConnections()
+		for _, b := range r.backends {
+			b.Kill()
+		}
+		d.Close()
+	})
+	return r
+}
+
+// backend starts one in a cell and puts it into the list.
+func (r *rig) backend(cell *standin.Cell, change func(*standin.BackendConfig)) *standin.Backend {
+	r.t.Helper()
+	c := standin.BackendConfig{Name: fmt.Sprintf("b%d", len(r.backends)), Zone: "z", Kind: "k", Cell: cell,
+		Ledger: r.ledger, Keyed: func(class string) bool { return class != "look" }}
+	if change != nil {
+		change(&c)
+	}
+	b, err := standin.StartBackend(c)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.backends = append(r.backends, b)
+	r.discovery.Set(b.Endpoint())
+	return b
+}
+
+func cell(n int) *standin.Cell { return &standin.Cell{Number: n, Window: 5 * time.Second} }
+
+// Config is a configuration as the platform writes it, for the list that discovery has now.
+func (r *rig) config(f figures) string {
+	known, err := json.Marshal(r.discovery.List())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if f.plans == "" {
+		f.plans = usualPlans
+	}
+	if f.aimMS == 0 {
+		f.aimMS = 10_000
+	}
+	if f.deadlineMS == 0 {
+		f.deadlineMS = 15_000
+	}
+	meter := 0
+	if f.meter {
+		meter = 500_000
+	}
+	class := func(name, effect string, gain int) string {
+		return fmt.Sprintf(`{"name":%q,"effect":%q,"group":"cell","key_ttl_us":5000000,"goal_time_us":%d,"deadline_us":%d,"gain":%d}`,
+			name, effect, f.aimMS*1000, f.deadlineMS*1000, gain)
+	}
+	return fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+ "limits":{"cores":2.0,"memory_mb":256,"sockets":1024},"known":%s,
+ "settings":{"balancers":%d,"me":%d,"lanes":[%s],"tariffs":[%s],
+  "family_info":{"meter_period_us":%d,"largest":6},
+  "policy_limits":{"cancel":%v,"max_attempts":3,"max_retry_after_us":900000,"retry_after":true,
+   "conn_idle_us":15000000,"connect_timeout_us":250000},
+  "obligations":{"grace_to_answer_us":50000,"stop_sending_within_us":2000000,"cold_from":0.2,"warm_within_us":6000000,
+   "fall_multiple":4,"fall_us":1000000}}}`, f.me, r.discovery.Addr(), known, max(f.doors, 1), f.me,
+		class("look", "retryable", 1)+","+class("pay", "dedup", 5)+","+class("once", "fragile", 3), f.plans, meter, !f.noCancel)
+}
+
+// start starts the case's front.
+func (r *rig) start(start Starter, f figures) *rig {
+	r.t.Helper()
+	r.front = start(r.t, r.config(f))
+	return r
+}
+
+// ask is a request of a class with an id of its own.
+func (r *rig) ask(class string) standin.Ask {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastID++
+	a := standin.Ask{ID: r.lastID, Class: class, Customer: 7, Plan: "shop", Timeout: timeout}
+	if class != "look" {
+		a.Key, a.Body = fmt.Sprintf("key-%x", r.lastID), "amount=3"
+	}
+	return a
+}
+
+func (r *rig) do(a standin.Ask) standin.Reply {
+	return a.Do(r.t.Context(), r.transport, r.front.Addr())
+}
+
+// Run runs all cases and gives the transcript, once all have ended.
+func Run(t *testing.T, start Starter) *Transcript {
+	tr := &Transcript{}
+	t.Run("cases", func(t *testing.T) {
+		for name, run := range map[string]func(*testing.T, Starter, *Transcript){
+			"one final answer, single effects": outcomes,
+			"drains are honoured":              drains,
+			"a cold backend is spared":         coldBackend,
+			"quota and advice":                 quota,
+			"the ceiling holds over two doors": ceiling,
+			"a client that leaves":             leaving,
+			"the end loses nothing":            ending,
+			"what cannot be read":              malformed,
+			"bodies pass unchanged":            bodies,
+			"ids that come again":              replays,
+			"no backend at all":                nobody,
+			"many at once":                     many,
+		} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				run(t, start, tr)
+			})
+		}
+	})
+	return tr
+}
+
+// outcomes is rules 1 and 2: for each way in which a first attempt can end, each class, and fleets in which a
+// repeat may or may not go elsewhere.
+func outcomes(t *testing.T, start Starter, tr *Transcript) {
+	acts := map[string]standin.Act{"served": standin.Work, "error": standin.RunAndError, "turned away": standin.TurnAway,
+		"ran and broke": standin.RunAndBreak, "broke unheard": standin.BreakUnheard, "spoilt": standin.RunAndSpoil,
+		"cut": standin.RunAndCut, "hung": standin.Hang, "hung unrun": standin.HangUnrun}
+	fleets := map[string][]int{"one backend": {0}, "two of one cell": {0, 0}, "two of two cells": {0, 1}}
+	for what, act := range acts {
+		for fleet, cells := range fleets {
+			for _, class := range []string{"look", "pay", "once"} {
+				name := fmt.Sprintf("%s, %s, %s", what, fleet, class)
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					oneOutcome(t, start, tr, name, act, cells, class)
+				})
+			}
+		}
+	}
+}
+
+func oneOutcome(t *testing.T, start Starter, tr *Transcript, name string, act standin.Act, cells []int, class string) {
+	r := newRig(t)
+	memories := []*standin.Cell{cell(0), cell(1)}
+	var mu sync.Mutex
+	first := true
+	for _, n := range cells {
+		r.backend(memories[n], func(c *standin.BackendConfig) {
+			c.Act = func(standin.Attempt) standin.Act {
+				mu.Lock()
+				defer mu.Unlock()
+				if first {
+					first = false
+					return act
+				}
+				return standin.Work
+			}
+		})
+	}
+	r.start(start, figures{})
+	a := r.ask(class)
+	if act == standin.Hang || act == standin.HangUnrun {
+		a.Timeout = short
+	}
+	reply := r.do(a)
+	if reply.Status == 0 || reply.Took > a.Timeout {
+		t.Fatalf("no answer in %v: %v", a.Timeout, reply.Err)
+	}
+	seen := r.ledger.Of(a.RequestID())
+	effects := r.ledger.Effects(a.Key)
+	hung := act == standin.Hang || act == standin.HangUnrun
+	mayHaveRun := act != standin.Work && act != standin.TurnAway
+	sameCell := len(cells) == 1 || cells[0] == cells[1] // where a repeat can go
+	mayRepeat := class == "look" || class == "pay" && sameCell
+	if effects > 1 {
+		t.Errorf("its effect happened %d times", effects)
+	}
+	if len(seen) > 1 && mayHaveRun && !mayRepeat {
+		t.Errorf("sent again though it may have run: %+v", seen)
+	}
+	if reply.String() == "refused" && class != "look" && mayHaveRun {
+		t.Errorf("refused though it may have run")
+	}
+	if reply.String() == "refused" && reply.RetryAfter == "" {
+		t.Error("refused without a word on when to come back")
+	}
+	wantServed := act == standin.Work || act == standin.TurnAway && len(cells) > 1 || mayHaveRun && !hung && mayRepeat
+	if got := reply.String() == "served"; got != wantServed {
+		t.Errorf("answered %v, served: want %v", reply, wantServed)
+	}
+	tr.add("outcome "+name, "%v, %d attempts, %d effects", reply, len(seen), effects)
+}
+
+// drains is rule 3: after the list has told that a backend drains, nothing new goes there once the grace is over,
+// and what it holds ends well.
+func drains(t *testing.T, start Starter, tr *Transcript) {
+	for _, health := range []string{"Terminating", "Gone"} {
+		t.Run(health, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			goOn := make(chan bool)
+			hold := func(a standin.Attempt) standin.Act {
+				if a.Body == "hold" {
+					<-goOn
+				}
+				return standin.Work
+			}
+			// The one that is to drain comes alone first, so that what is held is held there.
+			drained := r.backend(cell(0), func(c *standin.BackendConfig) { c.Act = hold })
+			r.start(start, figures{})
+			held := make(chan standin.Reply, 1)
+			a := r.ask("pay")
+			a.Body = "hold"
+			go func() { held <- r.do(a) }()
+			if !r.ledger.Await(patience, func(as []standin.Attempt) bool { return len(as) == 1 }) {
+				t.Fatal("the request that is to be held never came")
+			}
+			r.backend(cell(1), nil)
+			r.discovery.SetHealth("b0", health)
+			told := time.Now()
+			const grace = 2 * time.Second
+			for time.Since(told) < grace+300*time.Millisecond {
+				if reply := r.do(r.ask("look")); reply.String() != "served" {
+					t.Errorf("while one backend drains: %v %v", reply, reply.Err)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			late, other := 0, 0
+			for _, a := range r.ledger.Attempts() {
+				if a.Backend == "b0" && a.At.After(told.Add(grace)) {
+					late++
+				}
+				if a.Backend == "b1" {
+					other++
+				}
+			}
+			close(goOn)
+			if reply := <-held; reply.String() != "served" {
+				t.Errorf("what the draining backend held: %v %v", reply, reply.Err)
+			}
+			if late > 0 || other == 0 {
+				t.Errorf("%d sent to the draining backend after its grace, %d to the other", late, other)
+			}
+			_ = drained
+			tr.add("drain "+health, "held: served, after the grace: %d", late)
+		})
+	}
+}
+
+// coldBackend is rule 4: a backend that has just started, beside warm ones under load, must not be sent so much
+// that it falls.
+func coldBackend(t *testing.T, start Starter, tr *Transcript) {
+	r := newRig(t)
+	limits := func(c *standin.BackendConfig) {
+		c.Slots, c.Work = 4, func(string) time.Duration { return 10 * time.Millisecond }
+		c.ColdFrom, c.WarmWithin, c.FallMultiple, c.FallFor = 0.2, 6*time.Second, 1, 500*time.Millisecond
+	}
+	for range 3 {
+		r.backend(cell(0), limits)
+	}
+	r.start(start, figures{})
+	cold := r.backend(cell(0), func(c *standin.BackendConfig) { limits(c); c.Cold = true })
+	var asking sync.WaitGroup
+	end := time.Now().Add(2500 * time.Millisecond)
+	for range 8 {
+		asking.Go(func() {
+			for time.Now().Before(end) {
+				if reply := r.do(r.ask("look")); reply.Status == 0 {
+					t.Errorf("lost: %v", reply.Err)
+				}
+			}
+		})
+	}
+	asking.Wait()
+	got, all := 0, r.ledger.Attempts()
+	for _, a := range all {
+		if a.Backend == "b3" {
+			got++
+		}
+	}
+	if cold.Fallen() || got == 0 || got*4 > len(all) {
+		t.Errorf("the cold backend got %d of %d attempts, fallen: %v", got, len(all), cold.Fallen())
+	}
+	tr.add("cold", "fallen: %v", cold.Fallen())
+}
+
+// quota: what a customer asks beyond its plan is refused at once, with a word on when to come back, and costs no
+// backend anything.
+func quota(t *testing.T, start Starter, tr *Transcript) {
+	r := newRig(t)
+	r.backend(cell(0), nil)
+	r.start(start, figures{plans: usualPlans + `,{"name":"tiny","units_per_s":0.01,"burst":10,"value_factor":1}`})
+	kinds := ""
+	for range 20 {
+		a := r.ask("look")
+		a.Plan = "tiny"
+		reply := r.do(a)
+		kinds += reply.String()[:1]
+		if reply.String() == "refused" && (reply.RetryAfter != "0.900" || reply.Took > timeout/2) {
+			t.Errorf("refused after %v with Retry-After %q", reply.Took, reply.RetryAfter)
+		}
+		if n := len(r.ledger.Of(a.RequestID())); n != b2i(reply.String() == "served") {
+			t.Errorf("%v, and %d attempts", reply, n)
+		}
+	}
+	if served := strings.Count(kinds, "s"); served < 1 || served > 10 {
+		t.Errorf("%d requests of a quota of 10 were served", served)
+	}
+	if reply := r.do(r.ask("look")); reply.String() != "refused" && reply.String() != "served" {
+		t.Errorf("another customer: %v", reply)
+	}
+	tr.add("quota", "%s", kinds)
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// ceiling is rule 5: two doors together stay under a hard ceiling, whatever is asked.
+func ceiling(t *testing.T, start Starter, tr *Transcript) {
+	const rate, burst, slack = 20.0, 30.0, 3.0
+	plans := fmt.Sprintf(`{"name":"shop","units_per_s":%v,"burst":%v,"value_factor":1,"ceiling_rate":%v,"never_over_depth":%v,"cap_slack":%v}`,
+		1000, 1000, rate, burst, slack)
+	r := newRig(t)
+	for range 2 {
+		r.backend(cell(0), nil)
+	}
+	var fronts []Front
+	for me := range 2 {
+		fronts = append(fronts, start(t, r.config(figures{doors: 2, me: me, plans: plans})))
+	}
+	time.Sleep(300 * time.Millisecond) // so that the ceiling's stores have something
+	var asking sync.WaitGroup
+	end := time.Now().Add(1500 * time.Millisecond)
+	for i := range 8 {
+		asking.Go(func() {
+			for time.Now().Before(end) {
+				a := r.ask("look")
+				a.Spread, a.Timeout = 2, 5*time.Second
+				if reply := a.Do(t.Context(), r.transport, fronts[i%2].Addr()); reply.Status == 0 {
+					t.Errorf("lost: %v", reply.Err)
+				} else if reply.String() == "refused" {
+					time.Sleep(2 * time.Millisecond)
+				}
+			}
+		})
+	}
+	asking.Wait()
+	store, least, last := burst, burst, time.Time{}
+	for _, a := range r.ledger.Attempts() {
+		if !last.IsZero() {
+			store = min(burst, store+rate*a.At.Sub(last).Seconds())
+		}
+		last = a.At
+		store--
+		least = min(least, store)
+	}
+	n := len(r.ledger.Attempts())
+	if least < -slack || n == 0 {
+		t.Errorf("%d units were sent on, the ceiling's store went to %.1f", n, least)
+	}
+	tr.add("ceiling", "held: %v", least >= -slack)
+}
+
+// leaving: a client that goes away is owed nothing, its attempt is called off, and its slot and open place are
+// free at once: of a plan that may have one attempt out, the next one is served.
+func leaving(t *testing.T, start Starter, tr *Transcript) {
+	r := newRig(t)
+	var mu sync.Mutex
+	first := true
+	r.backend(cell(0), func(c *standin.BackendConfig) {
+		c.Act = func(standin.Attempt) standin.Act {
+			mu.Lock()
+			defer mu.Unlock()
+			if first {
+				first = false
+				return standin.Hang
+			}
+			return standin.Work
+		}
+	})
+	r.start(start, figures{plans: `{"name":"shop","parallel":1,"value_factor":1}`})
+	ctx, leave := context.WithCancel(t.Context())
+	a := r.ask("pay")
+	gone := make(chan standin.Reply, 1)
+	go func() { gone <- a.Do(ctx, r.transport, r.front.Addr()) }()
+	if !r.ledger.Await(patience, func(as []standin.Attempt) bool { return len(as) == 1 && as[0].End == "hung" }) {
+		t.Fatal("the request never came")
+	}
+	if reply := r.do(r.ask("look")); reply.String() != "refused" {
+		t.Errorf("while the plan's one place is taken: %v", reply)
+	}
+	leave()
+	<-gone
+	var reply standin.Reply
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if reply = r.do(r.ask("look")); reply.String() == "served" {
+			break
+		}
+	}
+	if reply.String() != "served" {
+		t.Errorf("after the client left: %v", reply)
+	}
+	if n := len(r.ledger.Of(a.RequestID())); n != 1 {
+		t.Errorf("%d attempts of the request whose client left", n)
+	}
+	tr.add("leaving", "place taken: refused; after: %v; attempts 1", reply)
+}
+
+// ending is rule 1 at a planned restart: all that was taken is answered before the front ends.
+func ending(t *testing.T, start Starter, tr *Transcript) {
+	r := newRig(t)
+	goOn := make(chan bool)
+	r.backend(cell(0), func(c *standin.BackendConfig) {
+		c.Act = func(standin.Attempt) standin.Act { <-goOn; return standin.Work }
+	})
+	r.start(start, figures{})
+	const n = 10
+	replies := make(chan standin.Reply, n)
+	for i := range n {
+		a := r.ask([]string{"look", "pay", "once"}[i%3])
+		go func() { replies <- r.do(a) }()
+	}
+	if !r.ledger.Await(patience, func(as []standin.Attempt) bool { return len(as) == n }) {
+		t.Fatal("not all requests came")
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.front.Stop() }()
+	select {
+	case err := <-stopped:
+		t.Errorf("it ended with %d requests open: %v", n, err)
+	case <-time.After(900 * time.Millisecond):
+	}
+	close(goOn)
+	served := 0
+	for range n {
+		if reply := <-replies; reply.String() == "served" {
+			served++
+		} else {
+			t.Errorf("%v %v", reply, reply.Err)
+		}
+	}
+	select {
+	case err := <-stopped:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Error("it never ended")
+	}
+	tr.add("ending", "%d of %d served", served, n)
+}
+
+// malformed: what cannot be read gets an error at once, and no backend hears of it.
+func malformed(t *testing.T, start Starter, tr *Transcript) {
+	r := newRig(t)
+	r.backend(cell(0), nil)
+	r.start(start, figures{})
+	header := func(name string, v ...string) func(*standin.Ask) {
+		return func(a *standin.Ask) { a.Header = http.Header{name: v} }
+	}
+	for _, c := range []struct {
+		name, class string
+		change      func(*standin.Ask)
+	}{
+		{"no id", "look", header("Request-Id")},
+		{"a short id", "look", header("Request-Id", "12")},
+		{"two ids", "look", header("Request-Id", "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42")},
+		{"no class", "look", header("Request-Class")},
+		{"another class", "look", header("Request-Class", "pay")},
+		{"unknown class", "look", header("Request-Class", "nap")},
+		{"unknown plan", "look", header("X-Tier", "gold")},
+		{"no customer", "look", header("X-Api-Key")},
+		{"customer out of range", "look", header("X-Api-Key", "ffffffffffffffff")},
+		{"no timeout", "look", header("Request-Timeout")},
+		{"timeout 0", "look", header("Request-Timeout", "0")},
+		{"timeout that is no number", "look", header("Request-Timeout", "NaN")},
+		{"no terms", "look", header("X-Call-Terms")},
+		{"units below 0", "look", header("X-Call-Terms", "units=-1,spread=1,first=0")},
+		{"too many units", "look", header("X-Call-Terms", "units=7,spread=1,first=0")},
+		{"units that are no number", "look", header("X-Call-Terms", "units=NaN,spread=1,first=0")},
+		{"a set too wide", "look", header("X-Call-Terms", "units=1,spread=2,first=0")},
+		{"terms twice", "look", header("X-Call-Terms", "units=1,units=1,spread=1,first=0")},
+		{"a keyed class without a key", "pay", header("Idempotency-Key")},
+		{"a body over the limit", "pay", func(a *standin.Ask) { a.Body = strings.Repeat("x", 64<<10+1) }},
+		{"a GET of a keyed class", "pay", func(a *standin.Ask) { a.Key = "" }},
+		{"a POST of a safe class", "look", func(a *standin.Ask) { a.Key = "k" }},
+	} {
+		a := r.ask(c.class)
+		if c.change != nil {
+			c.change(&a)
+		}
+		reply := r.do(a)
+		if reply.Status < 400 || reply.Status > 499 {
+			t.Errorf("%s: %v %v", c.name, reply, reply.Err)
+		}
+		tr.add("malformed", "%s: %d", c.name, reply.Status)
+	}
+	if as := r.ledger.Attempts(); len(as) > 0 {
+		t.Errorf("backends heard of %+v", as)
+	}
+	if reply := r.do(r.ask("pay")); reply.String() != "served" {
+		t.Errorf("a good one afterwards: %v", reply)
+	}
+}
+
+// bodies pass on unchanged, up to the limit.
+func bodies(t *testing.T, start Starter, tr *Transcript) {
+	r := newRig(t)
+	r.backend(cell(0), nil)
+	r.start(start, figures{})
+	for name, body := range map[string]string{"empty": "", "small": "a=1&b=\x00\xff\r\n\r\nGET / HTTP/1.1", "largest": strings.Repeat("y", 64<<10)} {
+		a := r.ask("pay")
+		a.Body = body
+		reply := r.do(a)
+		seen := r.ledger.Of(a.RequestID())
+		if reply.String() != "served" || len(seen) != 1 || seen[0].Body != body || seen[0].Key != a.Key || seen[0].Timeout == "" {
+			t.Errorf("%s: %v, %d attempts", name, reply, len(seen))
+		}
+	}
+	tr.add("bodies", "unchanged")
+}
+
+// replays: an id that is open is turned away; one that may have run, of a class whose effect must stay single, is
+// not sent again.
+func replays(t *testing.T, start Starter, tr *Transcript) {
+	r := newRig(t)
+	goOn := make(chan bool)
+	r.backend(nil, func(c *standin.BackendConfig) { // it drops no repeats
+		c.Act = func(a standin.Attempt) standin.Act {
+			if a.Body == "hold" {
+				<-goOn
+			}
+			return standin.Work
+		}
+	})
+	r.start(start, figures{})
+	held := r.ask("pay")
+	held.Body = "hold"
+	first := make(chan standin.Reply, 1)
+	go func() { first <- r.do(held) }()
+	if !r.ledger.Await(patience, func(as []standin.Attempt) bool { return len(as) == 1 }) {
+		t.Fatal("the request never came")
+	}
+	open := r.do(held)
+	close(goOn)
+	tr.add("replays", "open: %v, the first: %v, again: %v", open, <-first, r.do(held))
+	for _, class := range []string{"look", "once"} {
+		a := r.ask(class)
+		tr.add("replays", "%s: %v, again: %v", class, r.do(a), r.do(a))
+		if class == "once" && len(r.ledger.Of(a.RequestID())) != 1 {
+			t.Errorf("%s: %d attempts", class, len(r.ledger.Of(a.RequestID())))
+		}
+	}
+	if n := r.ledger.Effects(held.Key); n != 1 || len(r.ledger.Of(held.RequestID())) != 1 {
+		t.Errorf("its effect happened %d times in %d attempts", n, len(r.ledger.Of(held.RequestID())))
+	}
+}
+
+// nobody: without a backend everything is refused at once, and said when to come back.
+func nobody(t *testing.T, start Starter, tr *Transcript) {
+	r := newRig(t)
+	r.start(start, figures{})
+	for _, class := range []string{"look", "pay", "once"} {
+		reply := r.do(r.ask(class))
+		if reply.String() != "refused" || reply.RetryAfter == "" || reply.Took > timeout/2 {
+			t.Errorf("%s: %v after %v, Retry-After %q", class, reply, reply.Took, reply.RetryAfter)
+		}
+		tr.add("nobody", "%s: %v", class, reply)
+	}
+}
+
+// many: whatever backends do, each of many requests at once has one answer in time, and no effect is doubled.
+func many(t *testing.T, start Starter, tr *Transcript) {
+	r := newRig(t)
+	acts := []standin.Act{standin.Work, standin.Work, standin.Work, standin.Work, standin.Work, standin.Work, standin.Work,
+		standin.RunAndError, standin.TurnAway, standin.RunAndBreak, standin.BreakUnheard, standin.RunAndSpoil, standin.RunAndCut, standin.Hang}
+	memories := []*standin.Cell{cell(0), cell(1)}
+	for i := range 4 {
+		var mu sync.Mutex
+		n := i
+		r.backend(memories[i%2], func(c *standin.BackendConfig) {
+			c.Slots, c.Work = 8, func(string) time.Duration { return 2 * time.Millisecond }
+			c.Act = func(standin.Attempt) standin.Act {
+				mu.Lock()
+				defer mu.Unlock()
+				n++
+				return acts[n%len(acts)]
+			}
+		})
+	}
+	r.start(start, figures{aimMS: 300, deadlineMS: 2500})
+	var mu sync.Mutex
+	kinds := map[string]int{}
+	var asking sync.WaitGroup
+	for i := range 16 {
+		asking.Go(func() {
+			for n := range 20 {
+				a := r.ask([]string{"look", "pay", "once"}[(i+n)%3])
+				a.Timeout = 1500 * time.Millisecond
+				reply := r.do(a)
+				if reply.Status == 0 {
+					t.Errorf("lost after %v: %v", reply.Took, reply.Err)
+				}
+				mu.Lock()
+				kinds[reply.String()]++
+				mu.Unlock()
+			}
+		})
+	}
+	asking.Wait()
+	if doubled := r.ledger.Doubled(); len(doubled) > 0 {
+		t.Errorf("effects that happened twice: %v", doubled)
+	}
+	if kinds["served"] == 0 {
+		t.Errorf("%v", kinds)
+	}
+	tr.add("many", "lost %d, doubled %d", kinds["lost"], len(r.ledger.Doubled()))
+}
--- /dev/null
+++ b/conformance/fronts_test.go
@@ -0,0 +1,220 @@
+package conformance
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-chi/chi/v5"
+	chimiddleware "github.com/go-chi/chi/v5/middleware"
+
+	"pumicecroft"
+	"pumicecroft/internal/daemon"
+	"pumicecroft/internal/platform"
+	pumicegin "pumicecroft/middleware/gin"
+	"pumicecroft/middleware/nethttp"
+)
+
+// TestMain lets the test's own binary stand in for the daemon, as a process of its own.
+func TestMain(m *testing.M) {
+	if path := os.Getenv("PUMICECROFT_AS_DAEMON"); path != "" {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		if err := daemon.Serve(ctx, path, nil); err != nil {
+			slog.Error("the daemon ended", "err", err)
+			os.Exit(1)
+		}
+		return
+	}
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	gin.SetMode(gin.ReleaseMode)
+	if err := flag.Set("test.parallel", "16"); err != nil { // the cases mostly wait
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// process is the daemon.
+type process struct {
+	cmd  *exec.Cmd
+	addr string
+	once sync.Once
+	err  error
+}
+
+var listens = regexp.MustCompile(`msg=serving .*listen=(\S+)|INFO serving .*listen=(\S+)`)
+
+func startProcess(t testing.TB, config string) Front {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{cmd: exec.Command(os.Args[0])}
+	p.cmd.Env = append(os.Environ(), "PUMICECROFT_AS_DAEMON="+path)
+	log, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		p.Stop()
+	})
+	var said strings.Builder
+	lines := bufio.NewScanner(log)
+	for lines.Scan() {
+		said.WriteString(lines.Text() + "\n")
+		if m := listens.FindStringSubmatch(lines.Text()); m != nil {
+			p.addr = m[1] + m[2]
+			break
+		}
+	}
+	if p.addr == "" {
+		t.Fatalf("the daemon did not say where it listens:\n%s", said.String())
+	}
+	go io.Copy(io.Discard, log)
+	return p
+}
+
+func (p *process) Addr() string { return p.addr }
+
+func (p *process) Stop() error {
+	p.once.Do(func() {
+		p.cmd.Process.Signal(syscall.SIGTERM)
+		p.err = p.cmd.Wait()
+	})
+	return p.err
+}
+
+// hosted is a Door in a host's server in this process.
+type hosted struct {
+	door   *pumicecroft.Door
+	server *http.Server
+	addr   string
+	once   sync.Once
+	err    error
+}
+
+// inHost starts fronts whose Door is behind a handler of a host.
+func inHost(handler func(*pumicecroft.Door) http.Handler) Starter {
+	return func(t testing.TB, config string) Front {
+		t.Helper()
+		c, err := platform.ParseConfig([]byte(config))
+		if err != nil {
+			t.Fatal(err)
+		}
+		door, err := pumicecroft.New(daemon.DoorConfig(c),
+			pumicecroft.WithSource(platform.Discovery{Addr: c.Discovery, From: c.Known.Seq}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := &hosted{door: door, server: &http.Server{Handler: handler(door)}, addr: ln.Addr().String()}
+		go h.server.Serve(ln)
+		t.Cleanup(func() { h.Stop() })
+		return h
+	}
+}
+
+func (h *hosted) Addr() string { return h.addr }
+
+func (h *hosted) Stop() error {
+	h.once.Do(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		h.err = errors.Join(h.server.Shutdown(ctx), h.door.Close(ctx))
+	})
+	return h.err
+}
+
+func notHere(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) }
+
+// fronts are all that the suite runs against.
+var fronts = map[string]Starter{
+	"daemon":  startProcess,
+	"library": inHost(func(d *pumicecroft.Door) http.Handler { return d }),
+	"nethttp under chi": inHost(func(d *pumicecroft.Door) http.Handler {
+		r := chi.NewRouter()
+		r.Use(chimiddleware.RequestID, chimiddleware.Recoverer, chimiddleware.Timeout(time.Minute), nethttp.New(d))
+		r.NotFound(notHere)
+		r.Get("/own", notHere) // without a route of its own chi runs no middleware
+		return r
+	}),
+	"gin": inHost(func(d *pumicecroft.Door) http.Handler {
+		e := gin.New()
+		e.Use(gin.Recovery(), pumicegin.New(d))
+		e.NoRoute(func(c *gin.Context) { c.Status(http.StatusTeapot) })
+		return e
+	}),
+}
+
+// Every front obeys the rules, and all of them give the same answers and leave the same counts.
+func TestConformance(t *testing.T) {
+	var mu sync.Mutex
+	told := map[string]string{}
+	t.Run("fronts", func(t *testing.T) {
+		for name, start := range fronts {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				tr := Run(t, start).String()
+				mu.Lock()
+				told[name] = tr
+				mu.Unlock()
+			})
+		}
+	})
+	if t.Failed() {
+		return
+	}
+	want := told["daemon"]
+	if want == "" || len(told) != len(fronts) {
+		t.Fatalf("%d fronts told something", len(told))
+	}
+	for name, got := range told {
+		if got != want {
+			t.Errorf("%s differs from the daemon:\n%s", name, diff(want, got))
+		}
+	}
+	t.Logf("all fronts:\n%s", want)
+}
+
+// diff gives the lines that differ.
+func diff(want, got string) string {
+	a, b := strings.Split(want, "\n"), strings.Split(got, "\n")
+	var out strings.Builder
+	for i := range max(len(a), len(b)) {
+		x, y := "", ""
+		if i < len(a) {
+			x = a[i]
+		}
+		if i < len(b) {
+			y = b[i]
+		}
+		if x != y {
+			out.WriteString("daemon: " + x + "\nthis:   " + y + "\n")
+		}
+	}
+	return out.String()
+}
--- a/door.go
+++ b/door.go
@@ -288,6 +288,15 @@
 	return fmt.Errorf("%w: %s: %.40q", ErrBadRequest, what, fmt.Sprint(value))
 }
 
+// Classes names the classes of the Settings, in their order.
+func (d *Door) Classes() []string {
+	var names []string
+	for _, c := range d.config.Settings.Classes {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
 // Open is how many requests the Door has not answered, or has an attempt out for that is being called off.
 func (d *Door) Open() int { return d.driver.Open() }
 
--- a/http.go
+++ b/http.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -102,7 +103,8 @@
 			h["Content-Type"] = []string{a.ContentType}
 		}
 		h["Content-Length"] = []string{strconv.Itoa(len(a.Body))}
-		_, _ = w.Write(a.Body) // if it fails, the connection is closed: the client sees a cut answer
+		w.WriteHeader(http.StatusOK) // said aloud: a framework may have another status in mind until then
+		_, _ = w.Write(a.Body)       // if it fails, the connection is closed: the client sees a cut answer
 	case errors.As(err, &refused):
 		if refused.RetryAfter > 0 {
 			h.Set("Retry-After", strconv.FormatFloat(refused.RetryAfter.Seconds(), 'f', 3, 64))
@@ -242,7 +244,7 @@
 	}
 	out := Request{ID: id, hasID: true, Class: class.Name, Plan: who.Plan, Customer: who.Customer, Key: h.key,
 		Timeout: max(1, time.Duration(min(seconds, class.Deadline.Seconds())*float64(time.Second))),
-		Method:  r.Method, Target: r.RequestURI, Host: r.Host}
+		Method:  r.Method, Target: target(r), Host: r.Host}
 	if !parseTerms(h.terms, &out, &d.config.Settings) {
 		return bad("X-Call-Terms", h.terms)
 	}
@@ -252,6 +254,19 @@
 	return out, nil
 }
 
+// target is the request's path and query as they came, unless the host has changed the path (http.StripPrefix
+// does).
+func target(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if path == r.URL.Path {
+		return r.RequestURI
+	}
+	if plain, err := url.PathUnescape(path); err == nil && plain == r.URL.Path {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 type headers struct{ id, class, plan, customer, timeout, terms, key string }
 
 // platformHeaders picks the platform's headers. One that is there twice could be read in two ways, here and behind
--- a/cmd/pumicecroft/serve.go
+++ b/internal/daemon/daemon.go
@@ -1,12 +1,17 @@
-package main
+// Package daemon is the front door as a program: one Door on one socket, configured as the platform does it. It is
+// thin on the library; signals and arguments are the command's.
+package daemon
 
 import (
 	"context"
 	"log/slog"
 	"math"
 	"net"
+	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"pumicecroft"
@@ -14,9 +19,9 @@
 	"pumicecroft/internal/platform"
 )
 
-// serve is one real front door: it reads the file at path and serves until ctx ends. A value from hup makes it
+// Serve is one real front door: it reads the file at path and serves until ctx ends. A value from hup makes it
 // read the file again and follow the discovery that it names then.
-func serve(ctx context.Context, path string, hup <-chan struct{}) error {
+func Serve(ctx context.Context, path string, hup <-chan struct{}) error {
 	config, err := platform.LoadConfig(path)
 	if err != nil {
 		return err
@@ -24,7 +29,7 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(config.Limits.Cores))))
 	debug.SetMemoryLimit(config.Limits.MemoryMB << 20 / 4 * 3) // the rest is for stacks, sockets and the program
 	moves := make(chan string)
-	door, err := pumicecroft.New(doorConfig(config), pumicecroft.WithLogger(slog.Default()),
+	door, err := pumicecroft.New(DoorConfig(config), pumicecroft.WithLogger(slog.Default()),
 		pumicecroft.WithSource(platform.Discovery{Addr: config.Discovery, From: config.Known.Seq, Moves: moves}))
 	if err != nil {
 		return err
@@ -43,14 +48,14 @@
 	reloading, stop := context.WithCancel(context.Background())
 	defer stop()
 	go reload(reloading, path, hup, moves)
-	slog.Info("serving", "name", config.Name, "listen", config.Listen, "backends", len(config.Known.Hosts))
+	slog.Info("serving", "name", config.Name, "listen", listener.Addr().String(), "backends", len(config.Known.Hosts))
 	err = httpfront.NewServer(door, config.Limits.ClientConns(), longest(config), slog.Default()).Run(ctx, listener)
 	slog.Info("ended", "err", err)
 	return err
 }
 
-// doorConfig is the platform's configuration in the library's terms.
-func doorConfig(c platform.Config) pumicecroft.Config {
+// DoorConfig is the platform's configuration in the library's terms.
+func DoorConfig(c platform.Config) pumicecroft.Config {
 	return pumicecroft.Config{Settings: c.Settings, Seed: c.Seed, Known: c.Known.Members(),
 		BackendConns: c.Limits.BackendConns(), ConnectTimeout: c.Conns.Connect, IdleTimeout: c.Conns.Idle}
 }
@@ -85,3 +90,25 @@
 		}
 	}
 }
+
+// Hangups tells of SIGHUP. One that waits stands for all that came since: the file is read after it.
+func Hangups(ctx context.Context) <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	told := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-signals:
+			case <-ctx.Done():
+				return
+			}
+			select {
+			case told <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return told
+}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -49,14 +49,15 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	c, err := parseConfig(text)
+	c, err := ParseConfig(text)
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	return c, nil
 }
 
-func parseConfig(text []byte) (Config, error) {
+// ParseConfig reads and checks such a file's text.
+func ParseConfig(text []byte) (Config, error) {
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
--- a/internal/platform/config_test.go
+++ b/internal/platform/config_test.go
@@ -23,7 +23,7 @@
 
 func config(t testing.TB) Config {
 	t.Helper()
-	c, err := parseConfig([]byte(testConfig))
+	c, err := ParseConfig([]byte(testConfig))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,7 +51,7 @@
 		"unknown effect": {`"dedup"`, `"maybe"`},
 		"no idle time":   {`"conn_idle_us":15000000,`, ""},
 	} {
-		if _, err := parseConfig([]byte(strings.Replace(testConfig, change[0], change[1], 1))); err == nil {
+		if _, err := ParseConfig([]byte(strings.Replace(testConfig, change[0], change[1], 1))); err == nil {
 			t.Errorf("%s: no error", name)
 		} else if strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: more than a line: %v", name, err)
