Hold the hosts' hard cases by tests: time-outs, bodies, panics, replays, HTTP/2

Need: a host's own time-out fires first, has read or limited the body, wraps the writer, panics, runs handlers again, speaks HTTP/2, mounts two instances. Found and mended: a body that the host had taken away was sent on as an empty one; it is a bad request now.

--- a/http.go
+++ b/http.go
@@ -154,6 +154,8 @@
 	}
 }
 
+var errCutBody = fmt.Errorf("%w: the body is not whole: cut by the client, or read before", ErrBadRequest)
+
 // readBody reads a request's body whole, within its own time, unless the Mapper has done so.
 func (d *Door) readBody(w http.ResponseWriter, r *http.Request, req *Request) error {
 	if req.Body != nil {
@@ -162,9 +164,12 @@
 	if r.ContentLength > MaxBody {
 		return ErrTooLarge
 	}
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+	if r.ContentLength == 0 || r.ContentLength < 0 && (r.Body == nil || r.Body == http.NoBody) {
 		return nil
 	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return errCutBody
+	}
 	control := http.NewResponseController(w)
 	// A writer that the host has wrapped may not let the deadline be set; then the host's own must do.
 	timed := control.SetReadDeadline(time.Now().Add(d.config.BodyTimeout)) == nil
@@ -181,7 +186,7 @@
 			return fmt.Errorf("%w: the host's limit is %d bytes", ErrTooLarge, limited.Limit)
 		}
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-			return fmt.Errorf("%w: the body is not whole: cut by the client, or read before", ErrBadRequest)
+			return errCutBody
 		}
 		return err
 	}
--- /dev/null
+++ b/internal/drive/drive_test.go
@@ -0,0 +1,358 @@
+package drive
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/core"
+)
+
+var classes = []decision.Class{{Name: "c"}, {Name: "pay", Effect: decision.Keyed}}
+
+// carrier makes attempts as the test says.
+type carrier struct {
+	carry func(a *Attempt) Reply
+	probe func() decision.ProbeResult
+}
+
+func (c carrier) Carry(a *Attempt) Reply { return c.carry(a) }
+
+func (c carrier) Probe(id decision.BackendID, _ time.Duration) decision.ProbeResult {
+	if c.probe == nil {
+		return decision.ProbeResult{Backend: id}
+	}
+	return c.probe()
+}
+
+func result(r decision.Result) Reply { return Reply{Outcome: core.Outcome{Result: r}} }
+
+// hang waits until the attempt is called off.
+func hang(a *Attempt) Reply {
+	off := make(chan bool)
+	if a.Wait(func() { close(off) }) == nil {
+		<-off
+	}
+	if errors.Is(a.Off(), ErrTimeUp) {
+		return result(decision.TimedOut)
+	}
+	return result(decision.Cancelled)
+}
+
+// decider does as the test says, under the driver's lock.
+type decider func(ev decision.Event) []decision.Action
+
+func (d decider) Handle(_ time.Duration, ev decision.Event, as []decision.Action) []decision.Action {
+	return append(as, d(ev)...)
+}
+
+func start(t *testing.T, d decider, c carrier, canCancel bool) *Driver {
+	t.Helper()
+	clock := NewClock()
+	dr := New(clock, core.New(d, classes, core.Limits{}, clock.Now()), c, canCancel)
+	t.Cleanup(dr.Stop)
+	return dr
+}
+
+func request(id int) decision.Request {
+	return decision.Request{ID: decision.RequestID(id), Class: "c", Patience: time.Second}
+}
+
+const last = 1020 * time.Millisecond
+
+func sendOnce(ev decision.Event) []decision.Action {
+	if r, ok := ev.(decision.Request); ok {
+		return []decision.Action{decision.Send{Request: r.ID, Backend: 1}}
+	}
+	return nil
+}
+
+func TestServedByTheCallersGoroutine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before := runtime.NumGoroutine()
+		during := 0
+		d := start(t, sendOnce, carrier{carry: func(a *Attempt) Reply {
+			during = runtime.NumGoroutine()
+			r := result(decision.Answered)
+			r.Body = a.Load
+			return r
+		}}, true)
+		a, err := d.Serve(t.Context(), request(1), last, "hello")
+		if err != nil || a.Verdict != core.Served || a.Reply.Body != "hello" || a.Attempts != 1 {
+			t.Errorf("%+v, %v", a, err)
+		}
+		if during != before {
+			t.Errorf("%d goroutines were started for an attempt", during-before)
+		}
+		if d.Open() != 0 {
+			t.Error("the request is kept")
+		}
+	})
+}
+
+// The answer is given when it is due, whatever the carrier is at, be the attempt the serving goroutine's or not.
+func TestAnswersComeInTime(t *testing.T) {
+	for _, canCancel := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			d := start(t, func(ev decision.Event) []decision.Action {
+				switch ev := ev.(type) {
+				case decision.Request:
+					return []decision.Action{decision.Send{Request: ev.ID, Backend: 1},
+						decision.SetTimer{After: 300 * time.Millisecond, Token: 1, Request: ev.ID}}
+				case decision.Timer:
+					as := []decision.Action{decision.Refuse{Request: 1, RetryAfter: time.Second}}
+					if canCancel {
+						as = append(as, decision.Cancel{Request: 1})
+					}
+					return as
+				}
+				return nil
+			}, carrier{carry: hang}, canCancel)
+			begun := time.Now()
+			a, err := d.Serve(t.Context(), request(1), last, nil)
+			if took := time.Since(begun); err != nil || a.Verdict != core.Refused || a.RetryAfter != time.Second || took != 300*time.Millisecond {
+				t.Errorf("cancel %v: %+v, %v after %v", canCancel, a, err, took)
+			}
+			time.Sleep(time.Second)
+			if d.Open() != 0 {
+				t.Errorf("cancel %v: an attempt outlives its time", canCancel)
+			}
+		})
+	}
+}
+
+func TestTheLastMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, func(decision.Event) []decision.Action { return nil }, carrier{carry: hang}, true)
+		begun := time.Now()
+		a, err := d.Serve(t.Context(), request(1), last, nil)
+		if took := time.Since(begun); err != nil || a.Verdict != core.Late || took != last {
+			t.Errorf("%+v, %v after %v", a, err, took)
+		}
+	})
+}
+
+// A caller that leaves has its attempt called off at once, and what it left is given back.
+func TestLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, func(ev decision.Event) []decision.Action {
+			if _, ok := ev.(decision.ClientGone); ok {
+				return []decision.Action{decision.Cancel{Request: 1}}
+			}
+			return sendOnce(ev)
+		}, carrier{carry: hang}, true)
+		ctx, leave := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer leave()
+		begun := time.Now()
+		a, err := d.Serve(ctx, request(1), last, nil)
+		if took := time.Since(begun); err != nil || a.Verdict != core.Left || took != 100*time.Millisecond || d.Open() != 0 {
+			t.Errorf("%+v, %v after %v, %d open", a, err, took, d.Open())
+		}
+	})
+}
+
+// A context that ends between the decision and the send has nothing sent.
+func TestLeavingBetweenDecisionAndSend(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	sent := 0
+	var outcome decision.Outcome
+	d := start(t, func(ev decision.Event) []decision.Action {
+		switch ev := ev.(type) {
+		case decision.Request:
+			leave() // the decision is made, and nothing carried out yet
+			return []decision.Action{decision.Send{Request: 1, Backend: 1}, decision.Cancel{Request: 1}}
+		case decision.Outcome:
+			outcome = ev
+		}
+		return nil
+	}, carrier{carry: func(*Attempt) Reply { sent++; return result(decision.Answered) }}, true)
+	a, err := d.Serve(ctx, request(1), last, nil)
+	if err != nil || a.Verdict != core.Left || sent != 0 || outcome.Result != decision.NotSent {
+		t.Errorf("%+v, %v; %d sent, the outcome %+v", a, err, sent, outcome)
+	}
+}
+
+// A second attempt beside the first has a goroutine of its own; the first answer is served, once.
+func TestAttemptsSideBySide(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, func(ev decision.Event) []decision.Action {
+			switch ev := ev.(type) {
+			case decision.Request:
+				return []decision.Action{decision.Send{Request: 1, Backend: 1}, decision.Send{Request: 1, Backend: 2}}
+			case decision.Outcome:
+				if ev.Result == decision.Answered {
+					return []decision.Action{decision.Cancel{Request: 1, Attempt: 1 - ev.Attempt}}
+				}
+			}
+			return nil
+		}, carrier{carry: func(a *Attempt) Reply {
+			if a.Backend == 1 {
+				return hang(a)
+			}
+			time.Sleep(50 * time.Millisecond)
+			r := result(decision.Answered)
+			r.Body = "two"
+			return r
+		}}, true)
+		a, err := d.Serve(t.Context(), request(1), last, nil)
+		if err != nil || a.Verdict != core.Served || a.Reply.Body != "two" || a.Attempts != 2 {
+			t.Errorf("%+v, %v", a, err)
+		}
+		synctest.Wait()
+		if d.Open() != 0 {
+			t.Error("an attempt is left")
+		}
+	})
+}
+
+func TestDrainAndStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := start(t, func(ev decision.Event) []decision.Action {
+			if _, ok := ev.(decision.ClientGone); ok {
+				return []decision.Action{decision.Cancel{Request: 1}}
+			}
+			return sendOnce(ev)
+		}, carrier{carry: hang}, true)
+		if owed := d.Drain(t.Context()); owed != 0 {
+			t.Errorf("%d owed of none", owed)
+		}
+		d = start(t, sendOnce, carrier{carry: hang}, true)
+		got := make(chan Answer, 1)
+		go func() {
+			a, _ := d.Serve(t.Context(), request(1), last, nil)
+			got <- a
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if owed := d.Drain(ctx); owed != 1 {
+			t.Errorf("%d owed, want the one that hangs", owed)
+		}
+		if _, err := d.Serve(t.Context(), request(2), last, nil); !errors.Is(err, core.ErrClosed) {
+			t.Errorf("while draining: %v", err)
+		}
+		d.Stop()
+		if a := <-got; a.Verdict != core.Aborted {
+			t.Errorf("%+v", a)
+		}
+		synctest.Wait()
+		if d.Open() != 0 {
+			t.Error("something is left")
+		}
+	})
+}
+
+func TestProbesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out, most, ended atomic.Int64
+		refused := 0
+		d := start(t, func(ev decision.Event) []decision.Action {
+			switch ev := ev.(type) {
+			case decision.BackendList:
+				var as []decision.Action
+				for range 2 * mostProbes {
+					as = append(as, decision.Probe{Backend: 1})
+				}
+				return as
+			case decision.ProbeResult:
+				ended.Add(1)
+				if ev.Result == decision.NotSent {
+					refused++
+				}
+			}
+			return nil
+		}, carrier{probe: func() decision.ProbeResult {
+			most.Store(max(most.Load(), out.Add(1)))
+			time.Sleep(time.Second)
+			out.Add(-1)
+			return decision.ProbeResult{Backend: 1}
+		}}, true)
+		d.List(decision.BackendList{})
+		time.Sleep(2 * time.Second)
+		if most.Load() > mostProbes || ended.Load() != 2*mostProbes || refused != mostProbes {
+			t.Errorf("%d probes at once, %d ended, %d not sent", most.Load(), ended.Load(), refused)
+		}
+	})
+}
+
+// Many callers at once, with everything that can happen to a request: each gets one answer, and all is given back.
+func TestManyCallers(t *testing.T) {
+	clock := NewClock()
+	set := decision.Settings{FrontDoors: 1, MaxAttempts: 3, CanCancel: true, Plans: []decision.Plan{{Name: "p"}},
+		Classes: []decision.Class{{Name: "c", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}
+	g, err := decision.New(set, 1, clock.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var n atomic.Int64
+	d := New(clock, core.New(g, set.Classes, core.Limits{}, clock.Now()), carrier{carry: func(a *Attempt) Reply {
+		switch n.Add(1) % 7 {
+		case 0:
+			return result(decision.Refused)
+		case 1:
+			return result(decision.Broken)
+		case 2:
+			return hang(a)
+		case 3:
+			time.Sleep(time.Millisecond)
+		}
+		return result(decision.Answered)
+	}}, true)
+	defer d.Stop()
+	list := decision.BackendList{Kind: decision.ListFull}
+	for i := range 5 {
+		list.Backends = append(list.Backends, decision.BackendInfo{ID: decision.BackendID(i + 1)})
+	}
+	d.List(list)
+	var callers sync.WaitGroup
+	verdicts := make([]atomic.Int64, core.Aborted+1)
+	for c := range 16 {
+		callers.Go(func() {
+			for i := range 50 {
+				ctx, cancel := context.WithCancel(t.Context())
+				if (c+i)%5 == 0 {
+					time.AfterFunc(time.Millisecond, cancel)
+				}
+				req := decision.Request{ID: decision.RequestID(c*1000 + i), Customer: decision.CustomerID(c), Class: "c", Plan: "p",
+					Units: 1, Patience: 60 * time.Millisecond, Spread: 1}
+				a, err := d.Serve(ctx, req, 80*time.Millisecond, nil)
+				if err != nil {
+					t.Error(err)
+				}
+				verdicts[a.Verdict].Add(1)
+				cancel()
+			}
+		})
+	}
+	callers.Wait()
+	if owed := d.Drain(t.Context()); owed != 0 || d.Open() != 0 {
+		t.Errorf("%d owed, %d open", owed, d.Open())
+	}
+	if verdicts[core.Served].Load() == 0 || verdicts[core.Left].Load() == 0 {
+		t.Errorf("verdicts %v", fmt.Sprint(verdicts[core.Served].Load(), verdicts[core.Left].Load()))
+	}
+}
+
+func TestClock(t *testing.T) {
+	c := NewClock()
+	now := time.Now()
+	if got := c.Unix(now.Add(-time.Hour)); got < c.Now()-time.Hour-time.Second || got > c.Now()-time.Hour+time.Second {
+		t.Errorf("an hour ago is %v, and now is %v", got, c.Now())
+	}
+	if got := c.Unix(time.Time{}); got != 0 {
+		t.Errorf("long ago is %v", got)
+	}
+	if got := c.Unix(now.Add(-48 * time.Hour)); got != 0 {
+		t.Errorf("before the origin is %v", got)
+	}
+	if at := c.At(c.Now()); at.Sub(time.Now()).Abs() > time.Second {
+		t.Errorf("now is %v", at)
+	}
+}
--- /dev/null
+++ b/internal/hosttest/hosttest.go
@@ -0,0 +1,146 @@
+// Package hosttest is what tests of hosts share: a Door over stand-in backends, in the test's own process.
+package hosttest
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/decision"
+	"pumicecroft/internal/platform"
+	"pumicecroft/internal/standin"
+)
+
+// Patience is how long a test waits for something that must happen.
+const Patience = 20 * time.Second
+
+// Rig is a Door over backends.
+type Rig struct {
+	Door     *pumicecroft.Door
+	Ledger   *standin.Ledger
+	Backends []*standin.Backend
+	t        testing.TB
+	mu       sync.Mutex
+	lastID   uint64
+}
+
+// Config is a deployment with a safe, a keyed and an unsafe class, a plan without bounds ("shop"), one that may
+// have one attempt out ("one") and one of ten units ("tiny").
+func Config() pumicecroft.Config {
+	class := func(name string, e decision.Effect) decision.Class {
+		return decision.Class{Name: name, Effect: e, Group: decision.GroupCell, KeyWindow: 5 * time.Second,
+			Aim: 10 * time.Second, Deadline: 15 * time.Second, Worth: 1}
+	}
+	return pumicecroft.Config{Seed: 1, Settings: decision.Settings{FrontDoors: 1, MaxAttempts: 3, CanCancel: true,
+		MaxRetryAfter: 900 * time.Millisecond,
+		Classes:       []decision.Class{class("look", decision.Safe), class("pay", decision.Keyed), class("once", decision.Unsafe)},
+		Plans: []decision.Plan{{Name: "shop", Price: 1}, {Name: "one", Open: 1, Price: 1},
+			{Name: "tiny", Rate: 0.01, Burst: 10, Price: 1}}}}
+}
+
+// New makes one with n backends in one cell; act may be nil, and change too.
+func New(t testing.TB, n int, act func(standin.Attempt) standin.Act, change func(*pumicecroft.Config), options ...pumicecroft.Option) *Rig {
+	t.Helper()
+	r := &Rig{t: t, Ledger: &standin.Ledger{}, lastID: 0xab0000}
+	list := platform.EndpointList{Whole: true}
+	cell := &standin.Cell{Window: 5 * time.Second}
+	for i := range n {
+		b, err := standin.StartBackend(standin.BackendConfig{Name: fmt.Sprintf("b%d", i), Ledger: r.Ledger, Act: act, Cell: cell,
+			Keyed: func(class string) bool { return class != "look" }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(b.Kill)
+		r.Backends = append(r.Backends, b)
+		list.Hosts = append(list.Hosts, b.Endpoint())
+	}
+	c := Config()
+	c.Known = list.Members()
+	if change != nil {
+		change(&c)
+	}
+	d, err := pumicecroft.New(c, options...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Door = d
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), Patience)
+		defer cancel()
+		if err := d.Close(ctx); err != nil {
+			t.Errorf("the door's end: %v", err)
+		}
+	})
+	return r
+}
+
+// Once gives an act for the first attempt of all and Work for the rest.
+func Once(act standin.Act) func(standin.Attempt) standin.Act {
+	var once sync.Once
+	return func(standin.Attempt) standin.Act {
+		now := standin.Work
+		once.Do(func() { now = act })
+		return now
+	}
+}
+
+// Ask is a request with an id of its own.
+func (r *Rig) Ask(class string) standin.Ask {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastID++
+	a := standin.Ask{ID: r.lastID, Class: class, Customer: 7, Plan: "shop", Timeout: 15 * time.Second}
+	if class != "look" {
+		a.Key, a.Body = fmt.Sprintf("key-%x", r.lastID), "amount=3"
+	}
+	return a
+}
+
+// Serve serves a handler on a port of the system's choosing and gives the address.
+func Serve(t testing.TB, h http.Handler, change func(*http.Server)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	if change != nil {
+		change(s)
+	}
+	go s.Serve(ln)
+	t.Cleanup(func() { s.Close() })
+	return ln.Addr().String()
+}
+
+// Do asks a server and gives the reply, whatever served it.
+func Do(t testing.TB, a standin.Ask, addr string) standin.Reply {
+	t.Helper()
+	tr := &http.Transport{}
+	defer tr.CloseIdleConnections()
+	return a.Do(t.Context(), tr, addr)
+}
+
+// Settled waits until a Door keeps nothing.
+func (r *Rig) Settled() {
+	r.t.Helper()
+	for end := time.Now().Add(Patience); r.Door.Open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("%d requests are kept", r.Door.Open())
+		}
+	}
+}
+
+// Free checks that the one place of plan "one" is free: a request of it is served at once.
+func (r *Rig) Free() {
+	r.t.Helper()
+	a, err := r.Door.Do(r.t.Context(), pumicecroft.Request{Class: "look", Plan: "one", Customer: 7})
+	if err != nil || !strings.HasPrefix(string(a.Body), "done ") {
+		r.t.Errorf("the plan's one place is not free: %v", err)
+	}
+}
