Sharpen the suite's cases for drains and cold backends

Cause: with the door's filters taken out on purpose the cases still passed: the held request made its backend dearer, and a closed loop of clients slowed down as the cold backend did.

--- a/conformance/conformance.go
+++ b/conformance/conformance.go
@@ -302,7 +302,7 @@
 				return standin.Work
 			}
 			// The one that is to drain comes alone first, so that what is held is held there.
-			drained := r.backend(cell(0), func(c *standin.BackendConfig) { c.Act = hold })
+			r.backend(cell(0), func(c *standin.BackendConfig) { c.Act = hold })
 			r.start(start, figures{})
 			held := make(chan standin.Reply, 1)
 			a := r.ask("pay")
@@ -311,16 +311,22 @@
 			if !r.ledger.Await(patience, func(as []standin.Attempt) bool { return len(as) == 1 }) {
 				t.Fatal("the request that is to be held never came")
 			}
-			r.backend(cell(1), nil)
+			r.backend(cell(1), func(c *standin.BackendConfig) { c.Work = func(string) time.Duration { return time.Millisecond } })
 			r.discovery.SetHealth("b0", health)
 			told := time.Now()
 			const grace = 2 * time.Second
-			for time.Since(told) < grace+300*time.Millisecond {
-				if reply := r.do(r.ask("look")); reply.String() != "served" {
-					t.Errorf("while one backend drains: %v %v", reply, reply.Err)
-				}
-				time.Sleep(5 * time.Millisecond)
+			var asking sync.WaitGroup
+			for range 6 { // so many at once that the held one does not make its backend the dearer
+				asking.Go(func() {
+					for time.Since(told) < grace+300*time.Millisecond {
+						if reply := r.do(r.ask("look")); reply.String() != "served" {
+							t.Errorf("while one backend drains: %v %v", reply, reply.Err)
+						}
+						time.Sleep(5 * time.Millisecond)
+					}
+				})
 			}
+			asking.Wait()
 			late, other := 0, 0
 			for _, a := range r.ledger.Attempts() {
 				if a.Backend == "b0" && a.At.After(told.Add(grace)) {
@@ -337,7 +343,6 @@
 			if late > 0 || other == 0 {
 				t.Errorf("%d sent to the draining backend after its grace, %d to the other", late, other)
 			}
-			_ = drained
 			tr.add("drain "+health, "held: served, after the grace: %d", late)
 		})
 	}
@@ -349,21 +354,26 @@
 	r := newRig(t)
 	limits := func(c *standin.BackendConfig) {
 		c.Slots, c.Work = 4, func(string) time.Duration { return 10 * time.Millisecond }
-		c.ColdFrom, c.WarmWithin, c.FallMultiple, c.FallFor = 0.2, 6*time.Second, 1, 500*time.Millisecond
+		c.ColdFrom, c.WarmWithin, c.FallMultiple, c.FallFor = 0.2, 6*time.Second, 0.4, 500*time.Millisecond
 	}
 	for range 3 {
 		r.backend(cell(0), limits)
 	}
 	r.start(start, figures{})
 	cold := r.backend(cell(0), func(c *standin.BackendConfig) { limits(c); c.Cold = true })
+	// A backend can do 400 a second warm, and is sent some 75. Of that a cold one may have what its warmth leaves it:
+	// the same as the others would be over 0.4 times what it can do, until it is half warm.
 	var asking sync.WaitGroup
 	end := time.Now().Add(2500 * time.Millisecond)
 	for range 8 {
 		asking.Go(func() {
+			pace := time.NewTicker(26 * time.Millisecond)
+			defer pace.Stop()
 			for time.Now().Before(end) {
 				if reply := r.do(r.ask("look")); reply.Status == 0 {
 					t.Errorf("lost: %v", reply.Err)
 				}
+				<-pace.C
 			}
 		})
 	}
--- a/middleware/nethttp/nethttp_test.go
+++ b/middleware/nethttp/nethttp_test.go
@@ -122,16 +122,13 @@
 	}
 }
 
-// A request that reaches the Door when the host's time is just up returns at once, and http.TimeoutHandler, which
-// wakes at the same moment, must still be the one that answers.
+// A request that reaches the Door when the host's time is up already is given back at once, maybe before
+// http.TimeoutHandler has begun to look, which then picks by chance whose answer counts. It must be the host's.
 func TestTheHostsTimeIsUpOnArrival(t *testing.T) {
 	r := hosttest.New(t, 1, nil, nil)
 	h := nethttp.New(r.Door)(http.HandlerFunc(own))
-	addr := hosttest.Serve(t, http.TimeoutHandler(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		<-req.Context().Done()
-		h.ServeHTTP(w, req)
-	}), 5*time.Millisecond, "the host says no"), quiet)
-	for range 100 {
+	addr := hosttest.Serve(t, http.TimeoutHandler(h, time.Nanosecond, "the host says no"), quiet)
+	for range 500 {
 		if reply := hosttest.Do(t, r.Ask("look"), addr); reply.Status != 503 || reply.Body != "the host says no" {
 			t.Fatalf("%d %q", reply.Status, reply.Body)
 		}
