--- a/middleware/nethttp/nethttp_test.go
+++ b/middleware/nethttp/nethttp_test.go
@@ -138,6 +138,58 @@
 	}
 }
 
+// claimed is a writer that holds an answer back, as http.TimeoutHandler's does, until the host claims it.
+type claimed struct {
+	mu     sync.Mutex
+	header http.Header
+	status int
+	host   bool
+}
+
+func (c *claimed) Header() http.Header { return c.header }
+
+func (c *claimed) WriteHeader(status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.status == 0 {
+		c.status = status
+	}
+}
+
+func (c *claimed) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.host {
+		return 0, http.ErrHandlerTimeout
+	}
+	return len(b), nil
+}
+
+// A handler that returns has its answer taken, so one whose host is about to answer must not return before.
+func TestTheDoorWaitsForTheHostsAnswer(t *testing.T) {
+	r := hosttest.New(t, 1, nil, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Nanosecond)
+	defer cancel()
+	req, err := r.Ask("look").Request(ctx, "h")
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.RequestURI = "/look"
+	w := &claimed{header: http.Header{}}
+	go func() {
+		time.Sleep(30 * time.Millisecond)
+		w.mu.Lock()
+		w.host = true
+		w.mu.Unlock()
+	}()
+	r.Door.ServeHTTP(w, req)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.host || w.status != 504 {
+		t.Errorf("it returned before the host had answered: %v, status %d", w.host, w.status)
+	}
+}
+
 // plain is a writer that a host has wrapped without a thought for Flusher.
 type plain struct{ w http.ResponseWriter }
 
