--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -2,6 +2,7 @@
 //
 //	pumicecroft              serve, configured by the file that NODE_CONFIG names, until SIGTERM; SIGHUP makes it
 //	                         read the file again and follow the discovery that it names then
+//	pumicecroft serve FILE   serve, configured by an operator's file, until SIGTERM
 //	pumicecroft check FILE   check an operator's file and name key and line of each error
 //	pumicecroft demo         run a whole deployment on loopback for a short while: see demo -h
 package main
@@ -37,8 +38,12 @@
 		return daemon.Serve(ctx, path, daemon.Hangups(ctx))
 	}
 	switch args[0] {
+	case "check":
+		return check(args[1:], out)
 	case "demo":
 		return runDemo(ctx, args[1:], out)
+	case "serve":
+		return serveFile(ctx, args[1:])
 	}
-	return fmt.Errorf("there is no command %q; there are check and demo, and without a command it serves", args[0])
+	return fmt.Errorf("there is no command %q; there are serve, check and demo, and without a command it serves as NODE_CONFIG says", args[0])
 }
--- /dev/null
+++ b/door_test.go
@@ -0,0 +1,308 @@
+package pumicecroft_test
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/decision"
+	"pumicecroft/internal/hosttest"
+	"pumicecroft/internal/standin"
+	"pumicecroft/membership"
+)
+
+func ask(class string) pumicecroft.Request {
+	r := pumicecroft.Request{Class: class, Plan: "shop", Customer: 7}
+	if class != "look" {
+		r.Key, r.Body = "k", []byte("amount=3")
+	}
+	return r
+}
+
+func TestDo(t *testing.T) {
+	r := hosttest.New(t, 1, nil, nil)
+	for _, class := range []string{"look", "pay", "once"} {
+		a, err := r.Door.Do(t.Context(), ask(class))
+		if err != nil || !strings.HasPrefix(string(a.Body), "done ") || a.Attempts != 1 || a.ContentType == "" {
+			t.Errorf("%s: %+v, %v", class, a, err)
+		}
+	}
+	req := ask("pay")
+	req.ID, req.Target, req.Host, req.ContentType = 0xabc, "/pay/x?y=1", "h", "text/plain"
+	if _, err := r.Door.Do(t.Context(), req); err != nil {
+		t.Error(err)
+	}
+	seen := r.Ledger.Of("0000000000000abc")
+	if len(seen) != 1 || seen[0].Body != "amount=3" || seen[0].Key != "k" {
+		t.Errorf("%+v", seen)
+	}
+}
+
+// Each end of a request is an error of its own kind, and of the kinds above it.
+func TestErrors(t *testing.T) {
+	r := hosttest.New(t, 1, nil, nil)
+	bad := func(change func(*pumicecroft.Request)) error {
+		req := ask("pay")
+		change(&req)
+		_, err := r.Door.Do(t.Context(), req)
+		return err
+	}
+	for name, change := range map[string]func(*pumicecroft.Request){
+		"class":         func(q *pumicecroft.Request) { q.Class = "nap" },
+		"plan":          func(q *pumicecroft.Request) { q.Plan = "gold" },
+		"units":         func(q *pumicecroft.Request) { q.Units = -1 },
+		"units NaN":     func(q *pumicecroft.Request) { q.Units = math.NaN() },
+		"units without": func(q *pumicecroft.Request) { q.Units = math.Inf(1) },
+		"spread":        func(q *pumicecroft.Request) { q.Spread = 2 },
+		"first":         func(q *pumicecroft.Request) { q.FirstDoor = 1 },
+		"timeout":       func(q *pumicecroft.Request) { q.Timeout = -1 },
+		"no key":        func(q *pumicecroft.Request) { q.Key = "" },
+		"key":           func(q *pumicecroft.Request) { q.Key = "a\r\nX: y" },
+		"method":        func(q *pumicecroft.Request) { q.Method = "GET /x HTTP/1.1\r\n" },
+		"target":        func(q *pumicecroft.Request) { q.Target = "/a b" },
+		"no path":       func(q *pumicecroft.Request) { q.Target = "pay" },
+		"host":          func(q *pumicecroft.Request) { q.Host = "a\nb" },
+		"content type":  func(q *pumicecroft.Request) { q.ContentType = "a\nb" },
+		"GET with body": func(q *pumicecroft.Request) { q.Method = "GET" },
+	} {
+		if err := bad(change); !errors.Is(err, pumicecroft.ErrBadRequest) || errors.Is(err, pumicecroft.ErrFailed) || errors.Is(err, pumicecroft.ErrRefused) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if err := bad(func(q *pumicecroft.Request) { q.Body = make([]byte, pumicecroft.MaxBody+1) }); !errors.Is(err, pumicecroft.ErrTooLarge) || !errors.Is(err, pumicecroft.ErrBadRequest) {
+		t.Errorf("too large: %v", err)
+	}
+	if n := len(r.Ledger.Attempts()); n > 0 {
+		t.Errorf("%d were sent", n)
+	}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	why := errors.New("the shop has closed")
+	cancel(why)
+	if _, err := r.Door.Do(ctx, ask("look")); !errors.Is(err, why) {
+		t.Errorf("a context that has ended: %v", err)
+	}
+
+	empty := hosttest.New(t, 0, nil, nil)
+	_, err := empty.Door.Do(t.Context(), ask("look"))
+	var refused *pumicecroft.RefusedError
+	if !errors.Is(err, pumicecroft.ErrRefused) || !errors.As(err, &refused) || refused.RetryAfter <= 0 || errors.Is(err, pumicecroft.ErrFailed) {
+		t.Errorf("nobody there: %v", err)
+	}
+
+	broken := hosttest.New(t, 1, func(standin.Attempt) standin.Act { return standin.RunAndError }, nil)
+	if _, err := broken.Door.Do(t.Context(), ask("once")); !errors.Is(err, pumicecroft.ErrFailed) || errors.Is(err, pumicecroft.ErrRefused) {
+		t.Errorf("failed: %v", err)
+	}
+	hung := hosttest.New(t, 1, func(standin.Attempt) standin.Act { return standin.Hang }, nil)
+	req := ask("once")
+	req.Timeout = 200 * time.Millisecond
+	start := time.Now()
+	if _, err := hung.Door.Do(t.Context(), req); !errors.Is(err, pumicecroft.ErrFailed) || time.Since(start) > 15*time.Second {
+		t.Errorf("hung: %v after %v", err, time.Since(start))
+	}
+}
+
+func TestAnIDThatIsOpenOrWasHere(t *testing.T) {
+	goOn := make(chan bool)
+	r := hosttest.New(t, 1, func(standin.Attempt) standin.Act { <-goOn; return standin.Work }, nil)
+	req := ask("pay")
+	req.ID = 5
+	first := make(chan error, 1)
+	go func() {
+		_, err := r.Door.Do(t.Context(), req)
+		first <- err
+	}()
+	r.Ledger.Await(hosttest.Patience, func(as []standin.Attempt) bool { return len(as) == 1 })
+	if _, err := r.Door.Do(t.Context(), req); !errors.Is(err, pumicecroft.ErrOpenID) || !errors.Is(err, pumicecroft.ErrBadRequest) {
+		t.Errorf("open: %v", err)
+	}
+	close(goOn)
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+	if _, err := r.Door.Do(t.Context(), req); !errors.Is(err, pumicecroft.ErrReplayed) || !errors.Is(err, pumicecroft.ErrFailed) {
+		t.Errorf("again: %v", err)
+	}
+	if n := len(r.Ledger.Attempts()); n != 1 {
+		t.Errorf("%d were sent", n)
+	}
+}
+
+func TestRequestsAreBounded(t *testing.T) {
+	r := hosttest.New(t, 1, func(standin.Attempt) standin.Act { return standin.Hang }, func(c *pumicecroft.Config) { c.MaxOpen = 3 })
+	ctx, leave := context.WithCancel(t.Context())
+	var asking sync.WaitGroup
+	for range 3 {
+		asking.Go(func() { r.Door.Do(ctx, ask("look")) })
+	}
+	r.Ledger.Await(hosttest.Patience, func(as []standin.Attempt) bool { return len(as) == 3 })
+	if _, err := r.Door.Do(t.Context(), ask("look")); !errors.Is(err, pumicecroft.ErrBusy) || !errors.Is(err, pumicecroft.ErrRefused) {
+		t.Errorf("one too many: %v", err)
+	}
+	leave()
+	asking.Wait()
+	r.Settled()
+}
+
+// Close loses nothing: what was taken has its answer before it returns, what comes then is refused, and when its
+// own time is up the rest is told so at once.
+func TestClose(t *testing.T) {
+	goOn := make(chan bool)
+	r := hosttest.New(t, 1, func(a standin.Attempt) standin.Act {
+		if a.Class == "pay" {
+			<-goOn
+		}
+		return standin.Work
+	}, nil)
+	first := make(chan error, 1)
+	go func() {
+		_, err := r.Door.Do(t.Context(), ask("pay"))
+		first <- err
+	}()
+	r.Ledger.Await(hosttest.Patience, func(as []standin.Attempt) bool { return len(as) == 1 })
+	closed := make(chan error, 1)
+	go func() { closed <- r.Door.Close(context.Background()) }()
+	for end := time.Now().Add(hosttest.Patience); ; time.Sleep(time.Millisecond) {
+		if _, err := r.Door.Do(t.Context(), ask("look")); errors.Is(err, pumicecroft.ErrClosed) && errors.Is(err, pumicecroft.ErrRefused) {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("requests are taken while it closes")
+		}
+	}
+	select {
+	case err := <-closed:
+		t.Errorf("it closed with a request open: %v", err)
+	default:
+	}
+	close(goOn)
+	if err := <-first; err != nil {
+		t.Errorf("what was taken: %v", err)
+	}
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+	if err := r.Door.Close(context.Background()); err != nil {
+		t.Errorf("once more: %v", err)
+	}
+	r.Door.Update(membership.List{Whole: true}) // does nothing, and no harm
+
+	hung := hosttest.New(t, 1, func(standin.Attempt) standin.Act { return standin.Hang }, nil)
+	go func() {
+		_, err := hung.Door.Do(t.Context(), ask("pay"))
+		first <- err
+	}()
+	hung.Ledger.Await(hosttest.Patience, func(as []standin.Attempt) bool { return len(as) == 1 })
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := hung.Door.Close(ctx); !errors.Is(err, pumicecroft.ErrAborted) || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("a close that is given no time: %v", err)
+	}
+	if err := <-first; !errors.Is(err, pumicecroft.ErrAborted) || !errors.Is(err, pumicecroft.ErrFailed) {
+		t.Errorf("what it held: %v", err)
+	}
+}
+
+// source is a list that the test pushes.
+type source struct {
+	lists chan membership.List
+	ended chan bool
+}
+
+func (s source) Run(ctx context.Context, update func(membership.List)) {
+	defer close(s.ended)
+	for {
+		select {
+		case l := <-s.lists:
+			update(l)
+			s.lists <- membership.List{} // it has counted
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func TestASource(t *testing.T) {
+	s := source{make(chan membership.List), make(chan bool)}
+	r := hosttest.New(t, 1, nil, nil, pumicecroft.WithSource(s))
+	push := func(l membership.List) { s.lists <- l; <-s.lists }
+	if _, err := r.Door.Do(t.Context(), ask("look")); err != nil {
+		t.Error(err)
+	}
+	push(membership.List{Nodes: []membership.Node{{Name: "b0", Addr: r.Backends[0].Addr(), State: decision.Draining}}})
+	if _, err := r.Door.Do(t.Context(), ask("look")); !errors.Is(err, pumicecroft.ErrRefused) {
+		t.Errorf("while the one backend drains: %v", err)
+	}
+	push(membership.List{Whole: true, Nodes: []membership.Node{{Name: ""}, {Name: "bad", State: 9}, {Name: "none"},
+		{Name: "new", Addr: r.Backends[0].Addr()}}}) // three make no sense
+	if _, err := r.Door.Do(t.Context(), ask("look")); err != nil {
+		t.Errorf("a new one: %v", err)
+	}
+	r.Door.Close(t.Context())
+	select {
+	case <-s.ended:
+	case <-time.After(hosttest.Patience):
+		t.Error("the source outlives the door")
+	}
+}
+
+func TestConfig(t *testing.T) {
+	if _, err := pumicecroft.New(pumicecroft.Config{}); !errors.Is(err, pumicecroft.ErrConfig) {
+		t.Errorf("nothing at all: %v", err)
+	}
+	for name, change := range map[string]func(*pumicecroft.Config){
+		"a time below 0":     func(c *pumicecroft.Config) { c.IdleTimeout = -1 },
+		"a count below 0":    func(c *pumicecroft.Config) { c.MaxOpen = -1 },
+		"a number too high":  func(c *pumicecroft.Config) { c.Settings.Me = 1 },
+		"a number below 0":   func(c *pumicecroft.Config) { c.Settings.Me = -1 },
+		"a plan that is odd": func(c *pumicecroft.Config) { c.Settings.Plans[0].Rate = math.NaN() },
+		"no class":           func(c *pumicecroft.Config) { c.Settings.Classes = nil },
+	} {
+		c := hosttest.Config()
+		change(&c)
+		if _, err := pumicecroft.New(c); !errors.Is(err, pumicecroft.ErrConfig) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// A Door leaves nothing running, and several of them share nothing.
+func TestNothingIsLeftBehind(t *testing.T) {
+	before := runtime.NumGoroutine()
+	for range 20 {
+		var doors []*pumicecroft.Door
+		for i := range 3 {
+			c := hosttest.Config()
+			c.Known.Nodes = []membership.Node{{Name: "one", Addr: "127.0.0.1:1"}}
+			d, err := pumicecroft.New(c, pumicecroft.WithDialer(func(context.Context, string, string) (net.Conn, error) {
+				return nil, errors.New("no way")
+			}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req := ask("once")
+			req.ID = 77 // the same at each: they do not know of one another
+			if _, err := d.Do(t.Context(), req); !errors.Is(err, pumicecroft.ErrRefused) {
+				t.Errorf("door %d: %v", i, err)
+			}
+			doors = append(doors, d)
+		}
+		for _, d := range doors {
+			if err := d.Close(t.Context()); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	for end := time.Now().Add(hosttest.Patience); runtime.NumGoroutine() > before+2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d goroutines, %d before", runtime.NumGoroutine(), before)
+		}
+	}
+}
--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,81 @@
+package pumicecroft_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/decision"
+	"pumicecroft/membership"
+)
+
+func exampleSettings() decision.Settings {
+	return decision.Settings{
+		CanCancel:     true,
+		MaxRetryAfter: time.Second,
+		Classes:       []decision.Class{{Name: "lookup", Aim: time.Second, Deadline: 4 * time.Second, Worth: 1}},
+		Plans:         []decision.Plan{{Name: "shop", Rate: 0.1, Burst: 2, Price: 1}},
+	}
+}
+
+// A caller in the same process asks with Do.
+func ExampleDoor_Do() {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, "looked up %s", r.URL.RequestURI())
+	}))
+	defer backend.Close()
+	door, err := pumicecroft.New(pumicecroft.Config{Settings: exampleSettings(), Known: membership.List{
+		Nodes: []membership.Node{{Name: "one", Addr: strings.TrimPrefix(backend.URL, "http://")}}}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer door.Close(context.Background())
+	for range 3 {
+		answer, err := door.Do(context.Background(), pumicecroft.Request{Class: "lookup", Plan: "shop", Customer: 7,
+			Target: "/lookup?serial=3"})
+		var refused *pumicecroft.RefusedError
+		switch {
+		case err == nil:
+			fmt.Println(string(answer.Body))
+		case errors.As(err, &refused):
+			fmt.Println("over the quota: come back in", refused.RetryAfter)
+		default:
+			fmt.Println(err)
+		}
+	}
+	// Output:
+	// looked up /lookup?serial=3
+	// over the quota: come back in 1s
+	// over the quota: come back in 1s
+}
+
+// A Door is an http.Handler that reads the platform's headers.
+func ExampleDoor_ServeHTTP() {
+	door, err := pumicecroft.New(pumicecroft.Config{Settings: exampleSettings()})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer door.Close(context.Background())
+	front := httptest.NewServer(door)
+	defer front.Close()
+	req, _ := http.NewRequest("GET", front.URL+"/lookup", nil)
+	req.Header = http.Header{"Request-Id": {"9b1f03aa5c7e2d41"}, "Request-Class": {"lookup"}, "X-Tier": {"shop"},
+		"X-Api-Key": {"00000000b4d65521"}, "Request-Timeout": {"0.480"}, "X-Call-Terms": {"units=1,spread=1,first=0"}}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer res.Body.Close()
+	io.Copy(io.Discard, res.Body)
+	fmt.Println(res.StatusCode, "Retry-After", res.Header.Get("Retry-After")) // it knows of no backend
+	// Output: 503 Retry-After 0.250
+}
--- /dev/null
+++ b/examples/chi/main.go
@@ -0,0 +1,57 @@
+// Command chi is a host on chi that knows who asks and lets the Door hold them to their plan.
+package main
+
+import (
+	"fmt"
+	"log"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
+
+	"pumicecroft"
+	"pumicecroft/decision"
+	"pumicecroft/membership"
+	doors "pumicecroft/middleware"
+	"pumicecroft/middleware/nethttp"
+)
+
+// shops says who holds a token; a real host asks its own store.
+var shops = map[string]pumicecroft.Identity{"secret": {Customer: 7, Plan: "shop"}}
+
+func main() {
+	door, err := pumicecroft.New(pumicecroft.Config{
+		Settings: decision.Settings{CanCancel: true, MaxRetryAfter: time.Second,
+			Classes: []decision.Class{{Name: "stock-lookup", Aim: time.Second, Deadline: 4 * time.Second, Worth: 1}},
+			Plans:   []decision.Plan{{Name: "shop", Rate: 10, Burst: 20, Price: 1}}},
+		Known: membership.List{Nodes: []membership.Node{{Name: "node-1", Addr: "127.0.0.1:9001"}}},
+	})
+	if err != nil {
+		log.Fatal(err)
+	}
+
+	r := chi.NewRouter()
+	r.Use(middleware.Recoverer, middleware.Timeout(10*time.Second), identify)
+	// The host's own way to say what a request is: no headers of the platform's.
+	r.Use(nethttp.New(door, doors.Routes("/api/stock"), doors.Mapper(func(r *http.Request) (pumicecroft.Request, error) {
+		who, ok := pumicecroft.IdentityFrom(r.Context())
+		if !ok {
+			return pumicecroft.Request{}, fmt.Errorf("%w: no token", pumicecroft.ErrBadRequest)
+		}
+		return pumicecroft.Request{Class: "stock-lookup", Customer: who.Customer, Plan: who.Plan,
+			Target: r.URL.RequestURI(), Timeout: 2 * time.Second}, nil
+	})))
+	r.Get("/", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "the host's own page") })
+	log.Fatal(http.ListenAndServe("127.0.0.1:8080", r))
+}
+
+// identify is the host's own middleware.
+func identify(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if who, ok := shops[r.Header.Get("Authorization")]; ok {
+			r = r.WithContext(pumicecroft.WithIdentity(r.Context(), who))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/examples/gin/main.go
@@ -0,0 +1,36 @@
+// Command gin is a host on gin with a Door before its handlers.
+package main
+
+import (
+	"log"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"pumicecroft"
+	"pumicecroft/decision"
+	"pumicecroft/membership"
+	doors "pumicecroft/middleware/gin"
+)
+
+func main() {
+	door, err := pumicecroft.New(pumicecroft.Config{
+		Settings: decision.Settings{CanCancel: true, MaxRetryAfter: time.Second,
+			Classes: []decision.Class{{Name: "stock-lookup", Aim: time.Second, Deadline: 4 * time.Second, Worth: 1}},
+			Plans:   []decision.Plan{{Name: "shop", Rate: 10, Burst: 20, Price: 1}}},
+		Known: membership.List{Nodes: []membership.Node{{Name: "node-1", Addr: "127.0.0.1:9001"}}},
+	})
+	if err != nil {
+		log.Fatal(err)
+	}
+
+	e := gin.New()
+	e.Use(gin.Recovery(), func(c *gin.Context) {
+		c.Next()
+		if err := c.Errors.Last(); err != nil {
+			log.Print(c.Request.URL.Path, ": ", err)
+		}
+	}, doors.New(door)) // the classes' paths: /stock-lookup and all below it
+	e.GET("/", func(c *gin.Context) { c.String(200, "the host's own page\n") })
+	log.Fatal(e.Run("127.0.0.1:8080"))
+}
--- /dev/null
+++ b/examples/nethttp/main.go
@@ -0,0 +1,61 @@
+// Command nethttp is a host of its own that sends two of its paths through a Door and answers the rest itself.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"net/http"
+	"os"
+	"os/signal"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/decision"
+	"pumicecroft/membership"
+	"pumicecroft/middleware"
+	"pumicecroft/middleware/nethttp"
+)
+
+func main() {
+	door, err := pumicecroft.New(pumicecroft.Config{
+		Settings: decision.Settings{
+			CanCancel:     true,
+			MaxRetryAfter: time.Second,
+			Classes: []decision.Class{
+				{Name: "stock-lookup", Aim: time.Second, Deadline: 4 * time.Second, Worth: 1},
+				{Name: "activate", Effect: decision.Keyed, Group: decision.GroupCell, KeyWindow: 5 * time.Second,
+					Aim: time.Second, Deadline: 4 * time.Second, Worth: 5},
+			},
+			Plans: []decision.Plan{{Name: "shop", Rate: 10, Burst: 20, Price: 1}},
+		},
+		Known: membership.List{Nodes: []membership.Node{
+			{Name: "node-1", Addr: "127.0.0.1:9001", Cell: 1},
+			{Name: "node-2", Addr: "127.0.0.1:9002", Cell: 1},
+		}},
+	})
+	if err != nil {
+		log.Fatal(err)
+	}
+
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "the host's own page") })
+	server := &http.Server{Addr: "127.0.0.1:8080",
+		Handler: nethttp.New(door, middleware.Routes("/stock-lookup", "/activate"))(mux)}
+
+	stop, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	go func() {
+		<-stop.Done()
+		// First the server, so that nothing new comes; then the door.
+		server.Shutdown(context.Background())
+	}()
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		log.Fatal(err)
+	}
+	ending, done := context.WithTimeout(context.Background(), 5*time.Second)
+	defer done()
+	if err := door.Close(ending); err != nil {
+		log.Print(err)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,12 +15,14 @@
 	"time"
 
 	"pumicecroft"
+	"pumicecroft/decision"
 	"pumicecroft/internal/httpfront"
+	"pumicecroft/internal/operator"
 	"pumicecroft/internal/platform"
 )
 
-// Serve is one real front door: it reads the file at path and serves until ctx ends. A value from hup makes it
-// read the file again and follow the discovery that it names then.
+// Serve is one real front door of the platform: it reads the file at path and serves until ctx ends. A value from
+// hup makes it read the file again and follow the discovery that it names then.
 func Serve(ctx context.Context, path string, hup <-chan struct{}) error {
 	config, err := platform.LoadConfig(path)
 	if err != nil {
@@ -34,6 +36,25 @@
 	if err != nil {
 		return err
 	}
+	reloading, stop := context.WithCancel(context.Background())
+	defer stop()
+	go reload(reloading, path, hup, moves)
+	return run(ctx, door, config.Name, config.Listen, config.Limits.ClientConns(), longest(config.Settings))
+}
+
+// ServeFile is one front door of an installation without the platform: it serves by an operator's file until ctx
+// ends.
+func ServeFile(ctx context.Context, f operator.File) error {
+	door, err := pumicecroft.New(f.Door, pumicecroft.WithLogger(slog.Default()))
+	if err != nil {
+		return err
+	}
+	door.Update(f.Backends)
+	return run(ctx, door, "", f.Listen, f.ClientConns, f.LongestDeadline())
+}
+
+// run serves a door on a socket until ctx ends and all that was taken has its answer.
+func run(ctx context.Context, door *pumicecroft.Door, name, listen string, conns int, longest time.Duration) error {
 	defer func() {
 		now, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -41,15 +62,12 @@
 			slog.Warn("ended with requests open", "err", err)
 		}
 	}()
-	listener, err := net.Listen("tcp", config.Listen)
+	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return err
 	}
-	reloading, stop := context.WithCancel(context.Background())
-	defer stop()
-	go reload(reloading, path, hup, moves)
-	slog.Info("serving", "name", config.Name, "listen", listener.Addr().String(), "backends", len(config.Known.Hosts))
-	err = httpfront.NewServer(door, config.Limits.ClientConns(), longest(config), slog.Default()).Run(ctx, listener)
+	slog.Info("serving", "name", name, "listen", listener.Addr().String())
+	err = httpfront.NewServer(door, conns, longest, slog.Default()).Run(ctx, listener)
 	slog.Info("ended", "err", err)
 	return err
 }
@@ -60,9 +78,9 @@
 		BackendConns: c.Limits.BackendConns(), ConnectTimeout: c.Conns.Connect, IdleTimeout: c.Conns.Idle}
 }
 
-func longest(c platform.Config) time.Duration {
+func longest(set decision.Settings) time.Duration {
 	d := time.Duration(0)
-	for _, class := range c.Settings.Classes {
+	for _, class := range set.Classes {
 		d = max(d, class.Deadline)
 	}
 	return d
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,181 @@
+// Package operator reads the operator's own file, such as deploy/pumicecroft.toml: a front door that is not run
+// by the platform has its classes, plans and backends from there. Every problem of a file is found in one go and
+// names its key and line. The package reads text; files and sockets are the caller's.
+package operator
+
+import (
+	"math"
+	"net"
+	"strconv"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/decision"
+	"pumicecroft/membership"
+)
+
+// File is what an operator's file says.
+type File struct {
+	Listen      string // host:port for clients
+	ClientConns int    // connections that clients may hold
+	Door        pumicecroft.Config
+	Backends    membership.List
+}
+
+// LongestDeadline is the longest of all classes.
+func (f File) LongestDeadline() time.Duration {
+	d := time.Duration(0)
+	for _, c := range f.Door.Settings.Classes {
+		d = max(d, c.Deadline)
+	}
+	return d
+}
+
+const (
+	day  = 24 * time.Hour
+	many = 1 << 20
+	any_ = math.MaxFloat64
+)
+
+// Parse reads a file's text. The error is a Problems.
+func Parse(text []byte) (File, error) {
+	d, err := parse(text)
+	if err != nil {
+		return File{}, err
+	}
+	var f File
+	top := d.top()
+	f.Listen = top.text("listen", true)
+	if f.Listen != "" {
+		checkAddress(d, top, "listen", f.Listen)
+	}
+	readDoor(top.table("door"), &f)
+	readClasses(d, top, &f.Door.Settings)
+	readPlans(d, top, &f.Door.Settings)
+	readBackends(d, top, &f)
+	top.done()
+	if err := d.result(); err != nil {
+		return File{}, err
+	}
+	if err := f.Door.Settings.Validate(); err != nil { // what the keys by themselves do not show
+		return File{}, Problems{{Line: 1, What: err.Error()}}
+	}
+	return f, nil
+}
+
+func checkAddress(d *document, s *section, key, addr string) {
+	_, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		d.bad(s.path, key, "%q is no host:port", addr)
+		return
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > 65535 {
+		d.bad(s.path, key, "%q has no port from 0 to 65535", addr)
+	}
+}
+
+func readDoor(s *section, f *File) {
+	set, c := &f.Door.Settings, &f.Door
+	set.FrontDoors = s.whole("of", 1, 1, 10_000)
+	set.Me = s.whole("number", 0, 0, 9_999)
+	if set.Me >= set.FrontDoors {
+		s.d.bad(s.path, "number", "%d is not below of = %d: doors count from 0", set.Me, set.FrontDoors)
+	}
+	set.Zone = s.text("zone", false)
+	set.MaxAttempts = s.whole("max_attempts", 3, 1, 16)
+	set.CanCancel = s.yes("cancel", true)
+	set.MaxRetryAfter = s.duration("max_retry_after", time.Second, 0, time.Hour)
+	set.MeterPeriod = s.duration("meter_period", 0, 0, time.Minute)
+	set.LargestUnits = s.number("largest_units", 0, 0, any_)
+	set.ColdFrom = s.number("cold_from", 0.2, 0, 1)
+	set.WarmWithin = s.duration("warm_within", 0, 0, time.Hour)
+	set.FallMultiple = s.number("fall_multiple", 0, 0, 1000)
+	set.FallFor = s.duration("fall_for", 0, 0, time.Hour)
+	set.AnswerGrace = s.duration("answer_grace", 0, 0, time.Minute)
+	set.DrainGrace = s.duration("drain_grace", 2*time.Second, 0, time.Hour)
+	c.MaxOpen = s.whole("max_open", 4096, 1, many)
+	c.BackendConns = s.whole("backend_connections", 256, 1, many)
+	f.ClientConns = s.whole("client_connections", 400, 1, many)
+	c.BodyTimeout = s.duration("body_timeout", time.Second, time.Millisecond, time.Hour)
+	c.ConnectTimeout = s.duration("connect_timeout", 250*time.Millisecond, time.Millisecond, time.Minute)
+	c.IdleTimeout = s.duration("idle_timeout", 15*time.Second, time.Millisecond, day)
+	s.done()
+}
+
+// names notes a name that is there twice.
+func names(d *document, seen map[string]bool, s *section, name string) {
+	if name != "" && seen[name] {
+		d.bad(s.path, "name", "%q is there twice", name)
+	}
+	seen[name] = true
+}
+
+func readClasses(d *document, top *section, set *decision.Settings) {
+	seen := map[string]bool{}
+	for _, s := range top.list("class") {
+		c := decision.Class{Name: s.text("name", true)}
+		names(d, seen, s, c.Name)
+		c.Effect = decision.Effect(s.oneOf("effect", "safe", "safe", "keyed", "unsafe"))
+		c.Group = decision.Group(s.oneOf("group", "all", "all", "zone", "cell"))
+		c.KeyWindow = s.duration("key_window", 0, 0, day)
+		c.Deadline = s.duration("deadline", 10*time.Second, time.Millisecond, time.Hour)
+		c.Aim = s.duration("aim", c.Deadline/2, time.Millisecond, time.Hour)
+		c.Worth = s.number("worth", 1, 0, any_)
+		c.LateWorth = s.number("late_worth", 0, 0, 1)
+		if c.Aim > c.Deadline {
+			d.bad(s.path, "aim", "%v is over the deadline of %v", c.Aim, c.Deadline)
+		}
+		if c.Effect == decision.Keyed && c.KeyWindow == 0 {
+			d.bad(s.path, "key_window", "a keyed class needs it: how long backends of a group drop a repeat")
+		}
+		s.done()
+		set.Classes = append(set.Classes, c)
+	}
+	if len(set.Classes) == 0 {
+		d.bad("", "class", "there is none: [[class]] with at least a name")
+	}
+}
+
+func readPlans(d *document, top *section, set *decision.Settings) {
+	seen := map[string]bool{}
+	for _, s := range top.list("plan") {
+		p := decision.Plan{Name: s.text("name", true)}
+		names(d, seen, s, p.Name)
+		p.Rate = s.number("rate", 0, 0, any_)
+		p.Burst = s.number("burst", 0, 0, any_)
+		p.Open = s.whole("open", 0, 0, many)
+		p.Price = s.number("price", 1, 0, any_)
+		p.CeilingRate = s.number("ceiling_rate", 0, 0, any_)
+		p.CeilingBurst = s.number("ceiling_burst", 0, 0, any_)
+		p.CeilingSlack = s.number("ceiling_slack", 0, 0, any_)
+		if (p.Rate > 0) != (p.Burst > 0) {
+			d.bad(s.path, "burst", "rate and burst go together")
+		}
+		if (p.CeilingRate > 0) != (p.CeilingBurst > 0) {
+			d.bad(s.path, "ceiling_burst", "ceiling_rate and ceiling_burst go together")
+		}
+		s.done()
+		set.Plans = append(set.Plans, p)
+	}
+	if len(set.Plans) == 0 {
+		d.bad("", "plan", "there is none: [[plan]] with at least a name")
+	}
+}
+
+func readBackends(d *document, top *section, f *File) {
+	seen := map[string]bool{}
+	f.Backends.Whole = true
+	for _, s := range top.list("backend") {
+		n := membership.Node{Name: s.text("name", true), Addr: s.text("address", true), Zone: s.text("zone", false),
+			Kind: s.text("model", false), Cell: s.whole("cell", 0, 0, math.MaxInt32), Weight: s.number("weight", 1, 0, any_)}
+		names(d, seen, s, n.Name)
+		if n.Addr != "" {
+			checkAddress(d, s, "address", n.Addr)
+		}
+		s.done()
+		f.Backends.Nodes = append(f.Backends.Nodes, n)
+	}
+	if len(f.Backends.Nodes) == 0 {
+		d.bad("", "backend", "there is none: [[backend]] with a name and an address")
+	}
+}
--- /dev/null
+++ b/internal/operator/reader.go
@@ -0,0 +1,315 @@
+package operator
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Problem is one thing that is wrong with a file.
+type Problem struct {
+	Line int    // from 1; 0: nowhere in particular
+	Key  string // such as plan[1].rate, entries of lists from 0; empty where the text is no TOML
+	What string
+}
+
+// Error is the problem in a line.
+func (p Problem) Error() string {
+	if p.Key == "" {
+		return fmt.Sprintf("line %d: %s", p.Line, p.What)
+	}
+	return fmt.Sprintf("line %d: %s: %s", p.Line, p.Key, p.What)
+}
+
+// Problems are all that is wrong with a file, by line.
+type Problems []Problem
+
+// Error is the problems, a line each.
+func (ps Problems) Error() string {
+	var lines []string
+	for _, p := range ps {
+		lines = append(lines, p.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// document is a file that is read key by key, so that every problem is found and each has its line.
+type document struct {
+	root     map[string]any
+	lines    map[string]int // of keys and tables, by path
+	problems Problems
+}
+
+// parse reads a file's text as TOML.
+func parse(text []byte) (*document, error) {
+	d := &document{root: map[string]any{}, lines: map[string]int{}}
+	if err := toml.Unmarshal(text, &d.root); err != nil {
+		if de, ok := err.(*toml.DecodeError); ok {
+			line, _ := de.Position()
+			return nil, Problems{{Line: line, Key: strings.Join(de.Key(), "."), What: de.Error()}}
+		}
+		return nil, Problems{{What: err.Error()}}
+	}
+	d.index(text)
+	return d, nil
+}
+
+// index notes the line of each key and table. The text is known to be TOML.
+func (d *document) index(text []byte) {
+	var p unstable.Parser
+	p.Reset(text)
+	table := ""
+	counts := map[string]int{}
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for k := e.Key(); k.Next(); {
+			if n := k.Node(); line == 0 {
+				line = p.Shape(n.Raw).Start.Line
+			}
+			parts = append(parts, string(k.Node().Data))
+		}
+		name := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			table = name
+			d.lines[table] = line
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s[%d]", name, counts[name])
+			counts[name]++
+			d.lines[table] = line
+		case unstable.KeyValue:
+			d.lines[join(table, name)] = line
+		}
+	}
+}
+
+func join(table, key string) string {
+	if table == "" {
+		return key
+	}
+	return table + "." + key
+}
+
+// bad notes a problem at a key, or at the table that lacks it.
+func (d *document) bad(table, key, format string, args ...any) {
+	path := join(table, key)
+	line, ok := d.lines[path]
+	if !ok {
+		line = d.lines[table]
+	}
+	d.problems = append(d.problems, Problem{Line: max(line, 1), Key: path, What: fmt.Sprintf(format, args...)})
+}
+
+// result gives all problems by line, or nil.
+func (d *document) result() error {
+	if len(d.problems) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(d.problems, func(a, b Problem) int { return a.Line - b.Line })
+	return d.problems
+}
+
+// section is one table of a document. A key that is not asked for is a problem, as it may be one misspelt.
+type section struct {
+	d     *document
+	path  string
+	keys  map[string]any
+	asked map[string]bool
+}
+
+func (d *document) top() *section { return &section{d, "", d.root, map[string]bool{}} }
+
+// table gives the table of a name; one that is not there is empty.
+func (s *section) table(name string) *section {
+	s.asked[name] = true
+	path := join(s.path, name)
+	v, ok := s.keys[name]
+	m, isTable := v.(map[string]any)
+	if ok && !isTable {
+		s.d.bad(s.path, name, "it is %s, not a table", kind(v))
+	}
+	return &section{s.d, path, m, map[string]bool{}}
+}
+
+// list gives the tables of a name.
+func (s *section) list(name string) []*section {
+	s.asked[name] = true
+	v, ok := s.keys[name]
+	if !ok {
+		return nil
+	}
+	var out []*section
+	all, isList := v.([]any)
+	for i, e := range all {
+		m, isTable := e.(map[string]any)
+		isList = isList && isTable
+		out = append(out, &section{s.d, fmt.Sprintf("%s[%d]", join(s.path, name), i), m, map[string]bool{}})
+	}
+	if !isList {
+		s.d.bad(s.path, name, "it is %s, not a list of tables ([[%s]])", kind(v), name)
+		return nil
+	}
+	return out
+}
+
+// done notes the keys that nobody has asked for.
+func (s *section) done() {
+	for key := range s.keys {
+		if !s.asked[key] {
+			s.d.bad(s.path, key, "no such key; there are %s", strings.Join(slices.Sorted(func(yield func(string) bool) {
+				for k := range s.asked {
+					if !yield(k) {
+						return
+					}
+				}
+			}), ", "))
+		}
+	}
+}
+
+func kind(v any) string {
+	switch v.(type) {
+	case string:
+		return "a text"
+	case int64:
+		return "a whole number"
+	case float64:
+		return "a number"
+	case bool:
+		return "true or false"
+	case []any:
+		return "a list"
+	case map[string]any:
+		return "a table"
+	}
+	return "a date or time"
+}
+
+func (s *section) get(key string) (any, bool) {
+	s.asked[key] = true
+	v, ok := s.keys[key]
+	return v, ok
+}
+
+// text gives a text; must tells that it has to be there and not be empty.
+func (s *section) text(key string, must bool) string {
+	v, ok := s.get(key)
+	t, isText := v.(string)
+	switch {
+	case !ok && must:
+		s.d.bad(s.path, key, "it is missing")
+	case ok && !isText:
+		s.d.bad(s.path, key, "it is %s, not a text", kind(v))
+	case ok && must && t == "":
+		s.d.bad(s.path, key, "it is empty")
+	}
+	return t
+}
+
+// oneOf gives a text's place among the ones that there are.
+func (s *section) oneOf(key, usual string, names ...string) int {
+	v, ok := s.get(key)
+	if !ok {
+		return max(0, slices.Index(names, usual))
+	}
+	t, _ := v.(string)
+	i := slices.Index(names, t)
+	if i < 0 {
+		s.d.bad(s.path, key, "%s is none of %s", show(v), strings.Join(names, ", "))
+	}
+	return max(0, i)
+}
+
+func show(v any) string {
+	if t, ok := v.(string); ok {
+		return strconv.Quote(t)
+	}
+	return fmt.Sprint(v)
+}
+
+// number gives a number between two bounds.
+func (s *section) number(key string, usual, least, most float64) float64 {
+	v, ok := s.get(key)
+	if !ok {
+		return usual
+	}
+	n, isNumber := v.(float64)
+	if whole, isWhole := v.(int64); isWhole {
+		n, isNumber = float64(whole), true
+	}
+	switch {
+	case !isNumber:
+		s.d.bad(s.path, key, "it is %s, not a number", kind(v))
+	case !(n >= least && n <= most):
+		s.d.bad(s.path, key, "%s is not from %s to %s", show(v), bound(least), bound(most))
+	default:
+		return n
+	}
+	return usual
+}
+
+func bound(v float64) string {
+	if v == math.MaxFloat64 {
+		return "any number"
+	}
+	return strconv.FormatFloat(v, 'g', -1, 64)
+}
+
+// whole gives a whole number between two bounds.
+func (s *section) whole(key string, usual, least, most int) int {
+	v, ok := s.get(key)
+	if !ok {
+		return usual
+	}
+	n, isWhole := v.(int64)
+	switch {
+	case !isWhole:
+		s.d.bad(s.path, key, "it is %s, not a whole number", kind(v))
+	case n < int64(least) || n > int64(most):
+		s.d.bad(s.path, key, "%d is not from %d to %d", n, least, most)
+	default:
+		return int(n)
+	}
+	return usual
+}
+
+// duration gives a time such as "250ms", between two bounds.
+func (s *section) duration(key string, usual, least, most time.Duration) time.Duration {
+	v, ok := s.get(key)
+	if !ok {
+		return usual
+	}
+	t, isText := v.(string)
+	d, err := time.ParseDuration(t)
+	switch {
+	case !isText || err != nil:
+		s.d.bad(s.path, key, `%s is no time such as "250ms" or "2s"`, show(v))
+	case d < least || d > most:
+		s.d.bad(s.path, key, "%v is not from %v to %v", d, least, most)
+	default:
+		return d
+	}
+	return usual
+}
+
+// yes gives true or false.
+func (s *section) yes(key string, usual bool) bool {
+	v, ok := s.get(key)
+	if !ok {
+		return usual
+	}
+	b, isBool := v.(bool)
+	if !isBool {
+		s.d.bad(s.path, key, "it is %s, not true or false", kind(v))
+		return usual
+	}
+	return b
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,249 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pumicecroft/internal/platform"
+)
+
+const patience = 20 * time.Second
+
+func backend(t *testing.T, c BackendConfig) *Backend {
+	t.Helper()
+	if c.Ledger == nil {
+		c.Ledger = &Ledger{}
+	}
+	b, err := StartBackend(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Kill)
+	return b
+}
+
+var lastID uint64
+
+func ask(t *testing.T, addr, key string, timeout time.Duration) Reply {
+	lastID++
+	a := Ask{ID: lastID, Class: "pay", Plan: "p", Key: key, Timeout: timeout}
+	return a.Do(t.Context(), &http.Transport{DisableKeepAlives: true}, addr)
+}
+
+func TestCellsDropRepeats(t *testing.T) {
+	l := &Ledger{}
+	one, two := &Cell{Number: 1, Window: 200 * time.Millisecond}, &Cell{Number: 2, Window: time.Hour}
+	keyed := func(string) bool { return true }
+	a, b := backend(t, BackendConfig{Cell: one, Ledger: l, Keyed: keyed}), backend(t, BackendConfig{Cell: one, Ledger: l, Keyed: keyed})
+	c := backend(t, BackendConfig{Cell: two, Ledger: l, Keyed: keyed})
+	for i, step := range []struct {
+		b    *Backend
+		want int
+	}{{a, 1}, {b, 1}, {a, 1}, {c, 2}, {c, 2}} {
+		if r := ask(t, step.b.Addr(), "k", patience); r.Status != 200 || l.Effects("k") != step.want {
+			t.Errorf("step %d: %v, %d effects, want %d", i, r, l.Effects("k"), step.want)
+		}
+	}
+	time.Sleep(210 * time.Millisecond) // the window is over
+	ask(t, a.Addr(), "k", patience)
+	if l.Effects("k") != 3 || len(l.Doubled()) != 1 || len(one.keys) != 1 || len(one.order) != 1 {
+		t.Errorf("%d effects, %v, %d keys kept", l.Effects("k"), l.Doubled(), len(one.keys))
+	}
+}
+
+func TestSlotsQueueAndDrain(t *testing.T) {
+	l := &Ledger{}
+	b := backend(t, BackendConfig{Ledger: l, Slots: 1, Queue: 1, Work: func(string) time.Duration { return 50 * time.Millisecond },
+		Act: func(Attempt) Act { return Work }})
+	replies := make(chan Reply, 3)
+	for i := range 3 {
+		go func() {
+			a := Ask{ID: 1000 + uint64(i), Class: "c", Plan: "p", Timeout: patience}
+			replies <- a.Do(t.Context(), &http.Transport{DisableKeepAlives: true}, b.Addr())
+		}()
+	}
+	kinds := map[string]int{}
+	for range 3 {
+		kinds[(<-replies).String()]++
+	}
+	if kinds["served"] != 2 || kinds["refused"] != 1 {
+		t.Errorf("of three at once, with one slot and a queue of one: %v", kinds)
+	}
+	b.Drain()
+	if r := ask(t, b.Addr(), "", patience); r.Status != 503 {
+		t.Errorf("draining: %v", r)
+	}
+	b.Kill()
+	if r := ask(t, b.Addr(), "", patience); r.Status != 0 || r.Err == nil {
+		t.Errorf("dead: %v", r)
+	}
+}
+
+func TestActs(t *testing.T) {
+	for act, want := range map[Act]struct {
+		reply  string
+		effect int
+	}{
+		Work: {"served", 1}, RunAndError: {"failed 500", 1}, TurnAway: {"refused", 0}, RunAndBreak: {"lost", 1},
+		BreakUnheard: {"lost", 0}, RunAndSpoil: {"lost", 1}, RunAndCut: {"lost", 1}, Hang: {"lost", 1}, HangUnrun: {"lost", 0},
+	} {
+		l := &Ledger{}
+		b := backend(t, BackendConfig{Ledger: l, Act: func(Attempt) Act { return act }})
+		timeout := patience
+		if act == Hang || act == HangUnrun {
+			timeout = 300 * time.Millisecond
+		}
+		r := ask(t, b.Addr(), "k", timeout)
+		ended := l.Await(patience, func(as []Attempt) bool { return len(as) == 1 && as[0].End != "" })
+		if r.String() != want.reply || !ended || l.Effects("k") != want.effect {
+			t.Errorf("act %d: %v (%v), %d effects, want %v", act, r, r.Err, l.Effects("k"), want)
+		}
+	}
+}
+
+func TestAColdBackendFalls(t *testing.T) {
+	cold := BackendConfig{Capacity: 1000, ColdFrom: 0.01, WarmWithin: time.Hour, FallMultiple: 2, FallFor: 100 * time.Millisecond, Cold: true}
+	b := backend(t, cold)
+	for end := time.Now().Add(patience); !b.Fallen(); {
+		ask(t, b.Addr(), "", patience)
+		if time.Now().After(end) {
+			t.Fatal("it does not fall")
+		}
+	}
+	if r := ask(t, b.Addr(), "", patience); r.Status != 503 {
+		t.Errorf("fallen: %v", r)
+	}
+	cold.Cold = false
+	b = backend(t, cold)
+	for range 200 {
+		ask(t, b.Addr(), "", patience)
+	}
+	if b.Fallen() {
+		t.Error("a warm one fell")
+	}
+}
+
+func TestMeter(t *testing.T) {
+	m := &Meter{Period: time.Second}
+	m.Enter("a", 1, 3, 2)
+	m.Enter("b", 1, 1, 2)
+	at := time.Unix(100, 0)
+	for i, step := range []struct {
+		id   string
+		at   time.Duration
+		want float64
+	}{{"a", 0, 0}, {"a", 1, 0}, {"b", 2, 0}, {"b", time.Second, 200}, {"b", 3 * time.Second, 0}} {
+		if got, ok := m.count(step.id, at.Add(step.at)); !ok || got != step.want {
+			t.Errorf("step %d: %v %v, want %v", i, got, ok, step.want)
+		}
+	}
+	m.Forget("a")
+	if _, ok := m.count("a", at); ok {
+		t.Error("a request that was forgotten counts")
+	}
+}
+
+func TestDiscovery(t *testing.T) {
+	d, err := StartDiscovery()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	d.Set(platform.Endpoint{Host: "a", Dial: "x:1", Health: "Ready"}, platform.Endpoint{Host: "b", Dial: "x:2", Health: "Ready"})
+	list := d.List()
+	if !list.Whole || len(list.Hosts) != 2 || list.Hosts[0].Host != "a" {
+		t.Fatalf("%+v", list)
+	}
+	res, err := http.Get(fmt.Sprintf("http://%s/v1/endpoints?watch=1&from=%d", d.Addr(), list.Seq))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	lines := bufio.NewReader(res.Body)
+	next := func() platform.EndpointList {
+		t.Helper()
+		for {
+			line, err := lines.ReadString('\n')
+			if err != nil {
+				t.Fatal(err)
+			}
+			if strings.TrimSpace(line) != "" {
+				var l platform.EndpointList
+				if err := json.Unmarshal([]byte(line), &l); err != nil {
+					t.Fatal(err)
+				}
+				return l
+			}
+		}
+	}
+	if l := next(); l.Whole || len(l.Hosts) != 0 || l.Seq != list.Seq {
+		t.Errorf("nothing has changed: %+v", l)
+	}
+	d.SetHealth("b", "Terminating")
+	if l := next(); len(l.Hosts) != 1 || l.Hosts[0].Host != "b" || l.Hosts[0].Health != "Terminating" || l.Seq <= list.Seq {
+		t.Errorf("%+v", l)
+	}
+	d.SetDown(true)
+	d.SetHealth("a", "Gone")
+	d.SetDown(false)
+	if l := next(); len(l.Hosts) != 1 || l.Hosts[0].Health != "Gone" {
+		t.Errorf("%+v", l)
+	}
+	if l := d.List(); len(l.Hosts) != 1 {
+		t.Errorf("what is gone is listed: %+v", l)
+	}
+	if res, err := http.Get("http://" + d.Addr() + "/v1/endpoints?watch=1&from=x"); err != nil || res.StatusCode != 400 {
+		t.Errorf("%v %v", res, err)
+	}
+}
+
+func TestCounter(t *testing.T) {
+	c, err := StartCounter()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	call := func(path string) string {
+		t.Helper()
+		res, err := http.Post("http://"+c.Addr()+path, "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		body, _ := io.ReadAll(res.Body)
+		return fmt.Sprintf("%d %s", res.StatusCode, body)
+	}
+	for _, step := range [][2]string{{"/tally/a?n=2.5&keep_ms=60000", "200 2.5"}, {"/tally/a?n=-1&keep_ms=1", "200 1.5"},
+		{"/tally/b?n=1&keep_ms=60000", "200 1"}, {"/tally/a?n=1", "400 "}, {"/tally/a?n=x&keep_ms=1", "400 "},
+		{"/tally/a?n=NaN&keep_ms=1", "400 "}, {"/tally/a?n=1&keep_ms=0", "400 "}, {"/tally/a?n=2e9&keep_ms=1", "400 "},
+		{"/tally/" + strings.Repeat("x", 65) + "?n=1&keep_ms=1", "400 "}, {"/other", "404 404 page not found\n"}} {
+		if got := call(step[0]); got != step[1] {
+			t.Errorf("%s: %q, want %q", step[0], got, step[1])
+		}
+	}
+	c.Lose()
+	if got := call("/tally/a?n=1&keep_ms=60000"); got != "200 1" {
+		t.Errorf("after a loss: %q", got)
+	}
+	c.TurnAway(true)
+	if got := call("/tally/a?n=1&keep_ms=60000"); got != "503 " || c.Calls() != 4 {
+		t.Errorf("turned away: %q, %d calls", got, c.Calls())
+	}
+}
+
+// An answer that was made for another request is none.
+func TestAWrongAnswerCountsAsLost(t *testing.T) {
+	l := &Ledger{}
+	b := backend(t, BackendConfig{Ledger: l})
+	a := Ask{ID: 5, Class: "c", Plan: "p", Timeout: patience, Header: http.Header{"Request-Id": {"0000000000000006"}}}
+	if r := a.Do(context.Background(), &http.Transport{DisableKeepAlives: true}, b.Addr()); r.String() != "lost" {
+		t.Errorf("%v", r)
+	}
+}
