Say once what was said twice: evictions, defaults, the longest deadline, stand-ins

Cause: reading the whole change again. Closing an idle connection stood four times in the pool; two loops filled in defaults, alike but for the type; the longest deadline was worked out in the daemon and in the operator's file; three stand-ins opened their listener in the same words, and an act for the first attempt alone was written three times; a node of discovery was checked twice; Backends.Close cleared place by place what pool.end closes at once; membership.Table kept two times that nothing read. Change: pool.evict, fill, Settings.LongestDeadline, standin.listen and standin.Once; the rest is gone. Behaviour and assertions are as they were.

--- a/config.go
+++ b/config.go
@@ -1,6 +1,7 @@
 package pumicecroft
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -41,37 +42,18 @@
 )
 
 func (c Config) withDefaults() (Config, error) {
-	bad := func(what string, v any) (Config, error) {
-		return Config{}, fmt.Errorf("%w: %s is %v", ErrConfig, what, v)
+	err := cmp.Or(fill("ConnectTimeout", &c.ConnectTimeout, defaultConnectTimeout),
+		fill("IdleTimeout", &c.IdleTimeout, defaultIdleTimeout),
+		fill("BodyTimeout", &c.BodyTimeout, defaultBodyTimeout),
+		fill("BackendConns", &c.BackendConns, defaultBackendConns),
+		fill("MaxOpen", &c.MaxOpen, defaultMaxOpen),
+		fill("Settings.FrontDoors", &c.Settings.FrontDoors, 1),
+		fill("Settings.MaxAttempts", &c.Settings.MaxAttempts, defaultMaxAttempts))
+	if err != nil {
+		return Config{}, err
 	}
-	for _, d := range []struct {
-		name string
-		v    *time.Duration
-		is   time.Duration
-	}{{"ConnectTimeout", &c.ConnectTimeout, defaultConnectTimeout}, {"IdleTimeout", &c.IdleTimeout, defaultIdleTimeout},
-		{"BodyTimeout", &c.BodyTimeout, defaultBodyTimeout}} {
-		if *d.v < 0 {
-			return bad(d.name, *d.v)
-		}
-		if *d.v == 0 {
-			*d.v = d.is
-		}
-	}
-	for _, d := range []struct {
-		name string
-		v    *int
-		is   int
-	}{{"BackendConns", &c.BackendConns, defaultBackendConns}, {"MaxOpen", &c.MaxOpen, defaultMaxOpen},
-		{"Settings.FrontDoors", &c.Settings.FrontDoors, 1}, {"Settings.MaxAttempts", &c.Settings.MaxAttempts, defaultMaxAttempts}} {
-		if *d.v < 0 {
-			return bad(d.name, *d.v)
-		}
-		if *d.v == 0 {
-			*d.v = d.is
-		}
-	}
-	if c.Settings.Me < 0 || c.Settings.Me >= c.Settings.FrontDoors {
-		return bad("Settings.Me", fmt.Sprintf("%d, of %d front doors", c.Settings.Me, c.Settings.FrontDoors))
+	if me, of := c.Settings.Me, c.Settings.FrontDoors; me < 0 || me >= of {
+		return Config{}, fmt.Errorf("%w: Settings.Me is %d, of %d front doors", ErrConfig, me, of)
 	}
 	if err := c.Settings.Validate(); err != nil {
 		return Config{}, fmt.Errorf("%w: %w", ErrConfig, err)
@@ -79,6 +61,17 @@
 	return c, nil
 }
 
+// fill gives a setting that is 0 its default; one below 0 is an error.
+func fill[T int | time.Duration](name string, v *T, is T) error {
+	if *v < 0 {
+		return fmt.Errorf("%w: %s is %v", ErrConfig, name, *v)
+	}
+	if *v == 0 {
+		*v = is
+	}
+	return nil
+}
+
 // Source supplies the list of backends: a discovery service's client, a file, a program's own list. Run reports
 // what it learns by update until ctx ends, and returns then; a source that fails reports nothing, and the last
 // list stays. It is run in a goroutine of its own; update may be called from any, and does not wait.
--- a/conformance/conformance.go
+++ b/conformance/conformance.go
@@ -239,20 +239,9 @@
 func oneOutcome(t *testing.T, start Starter, tr *Transcript, name string, act standin.Act, cells []int, class string) {
 	r := newRig(t)
 	memories := []*standin.Cell{cell(0), cell(1)}
-	var mu sync.Mutex
-	first := true
+	once := standin.Once(act)
 	for _, n := range cells {
-		r.backend(memories[n], func(c *standin.BackendConfig) {
-			c.Act = func(standin.Attempt) standin.Act {
-				mu.Lock()
-				defer mu.Unlock()
-				if first {
-					first = false
-					return act
-				}
-				return standin.Work
-			}
-		})
+		r.backend(memories[n], func(c *standin.BackendConfig) { c.Act = once })
 	}
 	r.start(start, figures{})
 	a := r.ask(class)
@@ -536,19 +525,7 @@
 // free at once: of a plan that may have one attempt out, the next one is served.
 func leaving(t *testing.T, start Starter, tr *Transcript) {
 	r := newRig(t)
-	var mu sync.Mutex
-	first := true
-	r.backend(cell(0), func(c *standin.BackendConfig) {
-		c.Act = func(standin.Attempt) standin.Act {
-			mu.Lock()
-			defer mu.Unlock()
-			if first {
-				first = false
-				return standin.Hang
-			}
-			return standin.Work
-		}
-	})
+	r.backend(cell(0), func(c *standin.BackendConfig) { c.Act = standin.Once(standin.Hang) })
 	r.start(start, figures{plans: `{"name":"shop","parallel":1,"value_factor":1}`})
 	ctx, leave := context.WithCancel(t.Context())
 	a := r.ask("pay")
--- a/decision/api.go
+++ b/decision/api.go
@@ -97,6 +97,15 @@
 	FallFor       time.Duration // for this long, a cold backend falls over
 }
 
+// LongestDeadline is the longest of all classes.
+func (s Settings) LongestDeadline() time.Duration {
+	d := time.Duration(0)
+	for _, c := range s.Classes {
+		d = max(d, c.Deadline)
+	}
+	return d
+}
+
 // Validate tells what a gateway cannot work with.
 func (s Settings) Validate() error {
 	bad := func(least float64, vs ...float64) bool {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"pumicecroft"
-	"pumicecroft/decision"
 	"pumicecroft/internal/httpfront"
 	"pumicecroft/internal/operator"
 	"pumicecroft/internal/platform"
@@ -39,7 +38,7 @@
 	reloading, stop := context.WithCancel(context.Background())
 	defer stop()
 	go reload(reloading, path, hup, moves)
-	return run(ctx, door, config.Name, config.Listen, config.Limits.ClientConns(), longest(config.Settings))
+	return run(ctx, door, config.Name, config.Listen, config.Limits.ClientConns(), config.Settings.LongestDeadline())
 }
 
 // ServeFile is one front door of an installation without the platform: it serves by an operator's file until ctx
@@ -50,7 +49,7 @@
 		return err
 	}
 	door.Update(f.Backends)
-	return run(ctx, door, "", f.Listen, f.ClientConns, f.LongestDeadline())
+	return run(ctx, door, "", f.Listen, f.ClientConns, f.Door.Settings.LongestDeadline())
 }
 
 // run serves a door on a socket until ctx ends and all that was taken has its answer.
@@ -78,14 +77,6 @@
 		BackendConns: c.Limits.BackendConns(), ConnectTimeout: c.Conns.Connect, IdleTimeout: c.Conns.Idle}
 }
 
-func longest(set decision.Settings) time.Duration {
-	d := time.Duration(0)
-	for _, class := range set.Classes {
-		d = max(d, class.Deadline)
-	}
-	return d
-}
-
 // reload reads the file again at each value of hup and tells where discovery is now. A file that is no good changes
 // nothing. The counter is not used, and what else the file holds is for the next start.
 func reload(ctx context.Context, path string, hup <-chan struct{}, moves chan<- string) {
--- a/internal/hosttest/hosttest.go
+++ b/internal/hosttest/hosttest.go
@@ -80,16 +80,6 @@
 	return r
 }
 
-// Once gives an act for the first attempt of all and Work for the rest.
-func Once(act standin.Act) func(standin.Attempt) standin.Act {
-	var once sync.Once
-	return func(standin.Attempt) standin.Act {
-		now := standin.Work
-		once.Do(func() { now = act })
-		return now
-	}
-}
-
 // Ask is a request with an id of its own.
 func (r *Rig) Ask(class string) standin.Ask {
 	r.mu.Lock()
--- a/internal/httpback/backends.go
+++ b/internal/httpback/backends.go
@@ -173,11 +173,8 @@
 func (b *Backends) Close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for name, be := range b.byName {
-		b.pool.clear(be.place)
-		delete(b.byName, name)
-		delete(b.byID, be.id)
-	}
+	clear(b.byName) // so that none is ready for another attempt
+	clear(b.byID)
 	b.pool.end()
 }
 
--- a/internal/httpback/pool.go
+++ b/internal/httpback/pool.go
@@ -99,9 +99,7 @@
 		if p.idle.Len() == 0 {
 			return nil, errFull
 		}
-		c := p.idle.Front().Value.(*kept)
-		p.unkeep(c)
-		p.discard(c)
+		p.evict(p.idle.Front().Value.(*kept))
 	}
 	p.count++
 	return nil, nil
@@ -137,9 +135,7 @@
 	defer p.mu.Unlock()
 	p.ended = true
 	for p.idle.Len() > 0 {
-		c := p.idle.Front().Value.(*kept)
-		p.unkeep(c)
-		p.discard(c)
+		p.evict(p.idle.Front().Value.(*kept))
 	}
 	if p.sweeping != nil {
 		p.sweeping.Stop()
@@ -153,9 +149,7 @@
 	defer p.mu.Unlock()
 	at.closed = true
 	for len(at.idle) > 0 {
-		c := at.idle[len(at.idle)-1]
-		p.unkeep(c)
-		p.discard(c)
+		p.evict(at.idle[len(at.idle)-1])
 	}
 }
 
@@ -169,8 +163,7 @@
 			p.sweeping = time.AfterFunc(left, p.sweep)
 			return
 		}
-		p.unkeep(c)
-		p.discard(c)
+		p.evict(c)
 	}
 	p.sweeping = nil
 }
@@ -180,6 +173,12 @@
 	c.place.idle = slices.DeleteFunc(c.place.idle, func(o *kept) bool { return o == c })
 }
 
+// evict closes an idle connection.
+func (p *pool) evict(c *kept) {
+	p.unkeep(c)
+	p.discard(c)
+}
+
 func (p *pool) discard(c *kept) {
 	c.Close()
 	p.count--
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,15 +22,6 @@
 	Backends    membership.List
 }
 
-// LongestDeadline is the longest of all classes.
-func (f File) LongestDeadline() time.Duration {
-	d := time.Duration(0)
-	for _, c := range f.Door.Settings.Classes {
-		d = max(d, c.Deadline)
-	}
-	return d
-}
-
 const (
 	day  = 24 * time.Hour
 	many = 1 << 20
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -47,7 +47,7 @@
 	}
 	set := f.Door.Settings
 	if f.Listen != "127.0.0.1:8080" || set.Me != 1 || set.FrontDoors != 2 || set.MaxRetryAfter != 1500*time.Millisecond ||
-		f.Door.BodyTimeout != 500*time.Millisecond || f.ClientConns != 400 || f.LongestDeadline() != 10*time.Second {
+		f.Door.BodyTimeout != 500*time.Millisecond || f.ClientConns != 400 || set.LongestDeadline() != 10*time.Second {
 		t.Errorf("%+v", f)
 	}
 	if c := set.Classes[1]; c.Effect != decision.Keyed || c.Group != decision.GroupCell || c.KeyWindow != 5*time.Second ||
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -48,7 +48,7 @@
 		if e.BornMS != 0 {
 			n.Started = time.UnixMilli(e.BornMS)
 		}
-		if err := n.Check(); err != nil || !ok || e.BornMS < 0 {
+		if !ok || e.BornMS < 0 { // what else may be wrong with a node the library looks at
 			slog.Warn("discovery: an entry that makes no sense", "entry", e)
 			continue
 		}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -30,6 +30,16 @@
 	BreakUnheard            // reset the connection; it has not run, which the other side cannot know
 )
 
+// Once gives an act for the first attempt of all and Work for the rest. It may be shared by backends.
+func Once(act Act) func(Attempt) Act {
+	var once sync.Once
+	return func(Attempt) Act {
+		now := Work
+		once.Do(func() { now = act })
+		return now
+	}
+}
+
 // BackendConfig says what a backend is like.
 type BackendConfig struct {
 	Name string
@@ -76,20 +86,27 @@
 
 // StartBackend starts a backend on a loopback port of the system's choosing.
 func StartBackend(c BackendConfig) (*Backend, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	b := &Backend{config: c, addr: ln.Addr().String()}
+	b := &Backend{config: c}
 	if c.Slots > 0 {
 		b.slots = make(chan struct{}, c.Slots)
 	}
 	if c.Cold {
 		b.born = time.Now()
 	}
-	b.server = &http.Server{Handler: b, ErrorLog: log.New(io.Discard, "", 0)}
-	go b.server.Serve(ln)
-	return b, nil
+	var err error
+	b.server, b.addr, err = listen(b)
+	return b, err
+}
+
+// listen serves a handler on a loopback port of the system's choosing.
+func listen(h http.Handler) (*http.Server, string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	s := &http.Server{Handler: h, ErrorLog: log.New(io.Discard, "", 0)}
+	go s.Serve(ln)
+	return s, ln.Addr().String(), nil
 }
 
 // Addr is where it listens.
@@ -232,9 +249,6 @@
 // answerTo is the body that only this request's answer has.
 func answerTo(id string) string { return "done " + id + "\n" }
 
-// Answer is the body that a backend answers a request id with.
-func Answer(id string) string { return answerTo(id) }
-
 // work waits for a slot and works; false if the client left meanwhile.
 func (b *Backend) work(ctx context.Context, d time.Duration) bool {
 	if b.slots != nil {
--- a/internal/standin/counter.go
+++ b/internal/standin/counter.go
@@ -2,9 +2,7 @@
 
 import (
 	"io"
-	"log"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -29,16 +27,12 @@
 
 // StartCounter starts one on a loopback port of the system's choosing.
 func StartCounter() (*Counter, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	c := &Counter{addr: ln.Addr().String(), totals: map[string]total{}}
+	c := &Counter{totals: map[string]total{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /tally/{name}", c.tally)
-	c.server = &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0)}
-	go c.server.Serve(ln)
-	return c, nil
+	var err error
+	c.server, c.addr, err = listen(mux)
+	return c, err
 }
 
 // Addr is where it listens.
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"io"
-	"log"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -33,16 +31,12 @@
 
 // StartDiscovery starts one on a loopback port of the system's choosing.
 func StartDiscovery() (*Discovery, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	d := &Discovery{addr: ln.Addr().String(), hosts: map[string]entry{}, changed: make(chan struct{}), seq: 1}
+	d := &Discovery{hosts: map[string]entry{}, changed: make(chan struct{}), seq: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/endpoints", d.endpoints)
-	d.server = &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0)}
-	go d.server.Serve(ln)
-	return d, nil
+	var err error
+	d.server, d.addr, err = listen(mux)
+	return d, err
 }
 
 // Addr is where it listens.
--- a/membership/table.go
+++ b/membership/table.go
@@ -78,17 +78,11 @@
 	Old    bool          // that source has failed since
 }
 
-// word is what one source says of one node.
-type word struct {
-	node Node
-	at   time.Duration
-}
-
 // member is one node.
 type member struct {
 	name   string
 	id     decision.BackendID
-	words  []*word // by source; nil: that one does not know it
+	words  []*Node // each source's last word; nil: that one does not know it
 	told   Change  // what was emitted last
 	state  State
 	since  time.Duration
@@ -96,8 +90,7 @@
 	until  time.Duration
 	times  int
 	wellAt time.Duration // since when it has been well
-	outAt  time.Duration
-	index  int // in the heap, from 1; 0: it waits for nothing
+	index  int           // in the heap, from 1; 0: it waits for nothing
 	at     time.Duration
 }
 
@@ -199,7 +192,7 @@
 	var out []View
 	for _, m := range t.members {
 		w := m.words[m.first()]
-		v := View{Node: w.node, ID: m.id, Belief: m.state, Since: m.since, Times: m.times, Source: t.sources[m.source],
+		v := View{Node: *w, ID: m.id, Belief: m.state, Since: m.since, Times: m.times, Source: t.sources[m.source],
 			Old: t.failed[m.source]}
 		if m.state == Suspect {
 			v.Until = m.until
@@ -233,21 +226,21 @@
 			return
 		}
 		t.lastID++
-		m = &member{name: n.Name, id: t.lastID, words: make([]*word, len(t.sources)), since: t.now, wellAt: t.now}
+		m = &member{name: n.Name, id: t.lastID, words: make([]*Node, len(t.sources)), since: t.now, wellAt: t.now}
 		t.members[n.Name] = m
 	}
 	if n.State == decision.Gone {
 		m.words[s] = nil
 	} else {
 		if n.Addr == "" && m.words[s] != nil {
-			n.Addr = m.words[s].node.Addr
+			n.Addr = m.words[s].Addr
 		}
-		m.words[s] = &word{n, t.now}
+		m.words[s] = &n
 	}
 	latest := time.Duration(0)
 	for _, w := range m.words {
 		if w != nil {
-			latest = max(latest, started(w.node.Started))
+			latest = max(latest, started(w.Started))
 		}
 	}
 	t.judge(m, latest)
@@ -255,7 +248,7 @@
 
 // first is the first source that knows a member, or -1.
 func (m *member) first() int {
-	return slices.IndexFunc(m.words, func(w *word) bool { return w != nil })
+	return slices.IndexFunc(m.words, func(w *Node) bool { return w != nil })
 }
 
 // judge says what a member is by now, and emits what that changes.
@@ -273,7 +266,7 @@
 	}
 	out := -1 // the first source that says that it must not be sent anything new
 	for s, w := range m.words {
-		if w != nil && w.node.State != decision.Ready && out < 0 {
+		if w != nil && w.State != decision.Ready && out < 0 {
 			out = s
 		}
 	}
@@ -281,8 +274,8 @@
 	switch {
 	case out >= 0:
 		state, source = Draining, out
-		if m.state != Draining {
-			t.out1(m)
+		if m.state != Draining && m.state != Unknown { // it was in, or on its way
+			m.times++
 		}
 	case m.state == Draining:
 		m.wellAt = t.now
@@ -308,16 +301,7 @@
 			t.wait(m, m.wellAt+t.rules.Forget)
 		}
 	}
-	t.emit(m, m.words[first].node, started)
-}
-
-// out1 counts that a member has gone out.
-func (t *Table) out1(m *member) {
-	m.outAt = t.now
-	if m.state == Unknown {
-		return // it was never in
-	}
-	m.times++
+	t.emit(m, *m.words[first], started)
 }
 
 // hold is how long a member must be well before it is taken back.
--- a/middleware/nethttp/nethttp_test.go
+++ b/middleware/nethttp/nethttp_test.go
@@ -283,7 +283,7 @@
 func TestAHostThatReplaysHandlers(t *testing.T) {
 	for _, act := range []standin.Act{standin.RunAndBreak, standin.RunAndError, standin.Work} {
 		for _, class := range []string{"pay", "once"} {
-			r := hosttest.New(t, 1, hosttest.Once(act), nil)
+			r := hosttest.New(t, 1, standin.Once(act), nil)
 			h := nethttp.New(r.Door)(http.HandlerFunc(own))
 			addr := hosttest.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 				body, _ := io.ReadAll(req.Body)
@@ -460,7 +460,7 @@
 
 // A client that resets its stream has left, and its neighbours on the connection have not.
 func TestHTTP2ClientLeaves(t *testing.T) {
-	r := hosttest.New(t, 1, hosttest.Once(standin.Hang), nil)
+	r := hosttest.New(t, 1, standin.Once(standin.Hang), nil)
 	addr := hosttest.Serve(t, nethttp.New(r.Door)(http.HandlerFunc(own)), func(s *http.Server) {
 		s.Protocols = new(http.Protocols)
 		s.Protocols.SetUnencryptedHTTP2(true)
