Lists of backends go through the table of members, which doubts a list that loses most

Need: sources beside the platform's discovery need one place that merges them, and a catalogue that fails or loses its data must not empty a door's list.

Change: a Door holds a membership.Table; Update, WithSource and the new WithOrigin report to it, and it alone says what changed to the connections and the decision module. Plain origins (a program's own list, the platform) are taken as they stand, as before. From others, a whole list that lacks more than half of its nodes is believed after 1.5 s and when it was said twice; an empty one, or one whose source began anew, after 5 minutes. Nodes that are gone are remembered (bounded) so that one which comes and goes earns its place. Door.Members tells what is believed and why; List.Failed tells that a source can't be heard.

--- a/config.go
+++ b/config.go
@@ -23,6 +23,8 @@
 	Seed uint64
 	// Known is the list of backends as last held, from before a restart say; Update's lists take its place.
 	Known membership.List
+	// Membership says how the reports of several sources are weighed.
+	Membership membership.Rules
 
 	BackendConns   int           // connections to all backends together, idle ones among them; 256
 	ConnectTimeout time.Duration // a connection that is not up by then counts as failed; 250 ms
@@ -73,8 +75,9 @@
 }
 
 // Source supplies the list of backends: a discovery service's client, a file, a program's own list. Run reports
-// what it learns by update until ctx ends, and returns then; a source that fails reports nothing, and the last
-// list stays. It is run in a goroutine of its own; update may be called from any, and does not wait.
+// what it learns by update until ctx ends, and returns then; a source that fails reports nothing but that
+// (List.Failed), and what it said stays. It is run in a goroutine of its own; update may be called from any, and
+// does not wait.
 type Source interface {
 	Run(ctx context.Context, update func(membership.List))
 }
@@ -87,8 +90,15 @@
 type Option func(*Door)
 
 // WithSource lets a source supply the list of backends until the Door is closed. There may be several; each
-// list counts as if it came by Update.
-func WithSource(s Source) Option { return func(d *Door) { d.sources = append(d.sources, s) } }
+// list counts as if it came by Update, and is taken as it stands.
+func WithSource(s Source) Option { return WithOrigin(membership.Origin{Name: own, Plain: true}, s) }
+
+// WithOrigin lets a source of a name of its own supply backends. Sources of several names are merged as
+// membership.Table does it, and the order of these options is their precedence; Update and WithSource come last
+// where WithSource does not say otherwise. A name must not be used with two meanings of Plain.
+func WithOrigin(o membership.Origin, s Source) Option {
+	return func(d *Door) { d.sources = append(d.sources, origin{o, s}) }
+}
 
 // WithDeployment makes the Door one of a deployment's, which lets each number be claimed once.
 func WithDeployment(dep *Deployment) Option { return func(d *Door) { d.deployment = dep } }
--- a/door.go
+++ b/door.go
@@ -19,6 +19,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,18 +92,29 @@
 	mapper     Mapper
 	log        *slog.Logger
 	dial       func(ctx context.Context, network, addr string) (net.Conn, error)
-	sources    []Source
+	sources    []origin
 	deployment *Deployment
 
-	badLog, lateLog rate.Sometimes
+	badLog, lateLog, listLog rate.Sometimes
 
-	update  sync.Mutex // lists reach the core in the order in which they changed the backends
+	update  sync.Mutex // changes reach the core in the order in which they reached the backends
+	members *membership.Table
+	due     *time.Timer // when members wants to be called
 	stop    context.CancelFunc
 	ran     sync.WaitGroup
 	closing atomic.Bool
 	closed  bool // guarded by update
 }
 
+// origin is a source and what the table of members calls it.
+type origin struct {
+	membership.Origin
+	source Source
+}
+
+// own names the list that Config.Known and Update give.
+const own = "own"
+
 // New makes a Door that serves at once; until it is told of backends it refuses everything. The error is an
 // ErrConfig or an ErrDoorTaken.
 func New(config Config, options ...Option) (*Door, error) { return newDoor(config, nil, options) }
@@ -118,7 +130,8 @@
 	}
 	d := &Door{config: config, classes: map[string]decision.Class{}, plans: map[string]bool{},
 		log:    slog.New(slog.DiscardHandler),
-		badLog: rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second}}
+		badLog: rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second},
+		listLog: rate.Sometimes{First: 10, Interval: time.Second}}
 	d.mapper = d.PlatformRequest
 	for _, o := range options {
 		o(d)
@@ -149,27 +162,114 @@
 			return nil, err
 		}
 	}
+	var origins []membership.Origin
+	for _, o := range d.sources {
+		if !slices.Contains(origins, o.Origin) {
+			origins = append(origins, o.Origin)
+		}
+	}
+	if !slices.ContainsFunc(origins, func(o membership.Origin) bool { return o.Name == own }) {
+		origins = append(origins, membership.Origin{Name: own, Plain: true})
+	}
+	d.members = membership.NewTable(config.Membership, origins...)
 	known := config.Known
 	known.Whole, known.Saved = true, true
-	d.Update(known)
+	d.update.Lock()
+	changes, bad := d.members.Report(clock.Now(), own, known, clock.Unix)
+	d.changed(decision.ListSaved, changes, bad)
+	d.update.Unlock()
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
-	for _, s := range d.sources {
-		d.ran.Go(func() { s.Run(ctx, d.Update) })
+	for _, o := range d.sources {
+		d.ran.Go(func() { o.source.Run(ctx, func(l membership.List) { d.report(o.Name, l) }) })
 	}
 	return d, nil
 }
 
 // Update takes in news of the backends. What it says holds for every attempt that begins after it returns.
 // Entries that make no sense are passed over.
-func (d *Door) Update(list membership.List) {
+func (d *Door) Update(list membership.List) { d.report(own, list) }
+
+// report takes in what a source says.
+func (d *Door) report(source string, list membership.List) {
+	d.update.Lock()
+	defer d.update.Unlock()
+	if d.closed {
+		return
+	}
+	clock := d.driver.Clock()
+	changes, bad := d.members.Report(clock.Now(), source, list, clock.Unix)
+	if list.Failed != nil {
+		d.listLog.Do(func() {
+			d.log.Warn("a source of backends can't be heard, what it said stays", "source", source, "err", list.Failed)
+		})
+	}
+	d.changed(decision.ListChanges, changes, bad)
+}
+
+// ripe lets happen what the table of members has waited for.
+func (d *Door) ripe() {
 	d.update.Lock()
 	defer d.update.Unlock()
 	if !d.closed {
-		d.driver.List(d.backends.Update(list, d.driver.Clock()))
+		d.changed(decision.ListChanges, d.members.Tick(d.driver.Clock().Now()), nil)
 	}
 }
 
+// changed passes changes on and waits for the next ones; it wants the lock.
+func (d *Door) changed(kind decision.ListKind, changes []membership.Change, bad []error) {
+	for _, err := range bad {
+		d.listLog.Do(func() { d.log.Warn("an entry of the list that makes no sense", "err", err) })
+	}
+	if len(changes) > 0 || kind == decision.ListSaved {
+		d.backends.Apply(changes)
+		news := decision.BackendList{Kind: kind}
+		for _, c := range changes {
+			news.Backends = append(news.Backends, c.BackendInfo)
+		}
+		d.driver.List(news)
+	}
+	if d.due != nil {
+		d.due.Stop()
+	}
+	if at, ok := d.members.Next(); ok {
+		d.due = time.AfterFunc(max(0, at-d.driver.Clock().Now()), d.ripe)
+	}
+}
+
+// Members tells what the Door believes of each backend, by name, and why.
+func (d *Door) Members() []Member {
+	d.update.Lock()
+	defer d.update.Unlock()
+	clock := d.driver.Clock()
+	var out []Member
+	for _, v := range d.members.Views() {
+		m := Member{Name: v.Name, Addr: v.Addr, Zone: v.Zone, Kind: v.Kind, Cell: v.Cell, Weight: v.Weight,
+			State: v.Belief.String(), Since: clock.At(v.Since), Source: v.Source, Old: v.Old, Why: v.Why}
+		if v.Until > 0 {
+			m.Until = clock.At(v.Until)
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// Member is what a Door believes of a backend.
+type Member struct {
+	Name   string    `json:"name"`
+	Addr   string    `json:"address"`
+	Zone   string    `json:"zone,omitempty"`
+	Kind   string    `json:"model,omitempty"`
+	Cell   int       `json:"cell"`
+	Weight float64   `json:"weight"`
+	State  string    `json:"state"`          // cold, ready, suspect or draining
+	Since  time.Time `json:"since"`          // of State
+	Until  time.Time `json:"until,omitzero"` // a suspect is taken back then, if it stays well
+	Source string    `json:"source"`         // whose word decided
+	Old    bool      `json:"old,omitempty"`  // that source has not been heard since
+	Why    string    `json:"why"`            // in words
+}
+
 // Do passes a request to the backends and returns the one final answer: an Answer, or an error that is an
 // ErrRefused, an ErrFailed or an ErrBadRequest, or, when ctx ends first, ctx's cause. What is out for a request
 // whose ctx has ended is called off at once.
@@ -310,6 +410,9 @@
 	d.update.Lock()
 	defer d.update.Unlock()
 	d.closed = true
+	if d.due != nil {
+		d.due.Stop()
+	}
 	d.backends.Close()
 	if d.deployment != nil {
 		d.deployment.release(d.config.Settings.Me)
--- a/internal/httpback/backends.go
+++ b/internal/httpback/backends.go
@@ -55,12 +55,10 @@
 	Body        []byte
 }
 
-// backend is one entry of the list of backends. Its fields other than id are guarded by Backends.mu.
+// backend is one that is known. Its fields are guarded by Backends.mu.
 type backend struct {
-	id      decision.BackendID
-	started time.Time
-	state   decision.BackendState
-	place   *place
+	state decision.BackendState
+	place *place
 }
 
 // Backends sends attempts to the backends that it was told of, over kept connections. It is a drive.Carrier and
@@ -71,10 +69,8 @@
 	log      *slog.Logger
 	faultLog rate.Sometimes
 
-	mu     sync.Mutex
-	lastID decision.BackendID
-	byName map[string]*backend // until it is gone
-	byID   map[decision.BackendID]*backend
+	mu   sync.Mutex
+	byID map[decision.BackendID]*backend // until it is gone
 }
 
 var _ drive.Carrier = (*Backends)(nil)
@@ -90,8 +86,8 @@
 		dial = (&net.Dialer{Timeout: c.Connect, KeepAlive: -1}).DialContext
 	}
 	b := &Backends{log: c.Log, faultLog: rate.Sometimes{First: 10, Interval: time.Second},
-		pool:   newPool(dial, c.Conns, time.Duration(idleShare*float64(c.Idle))),
-		byName: map[string]*backend{}, byID: map[decision.BackendID]*backend{}}
+		pool: newPool(dial, c.Conns, time.Duration(idleShare*float64(c.Idle))),
+		byID: map[decision.BackendID]*backend{}}
 	if b.log == nil {
 		b.log = slog.New(slog.DiscardHandler)
 	}
@@ -104,59 +100,31 @@
 	return b
 }
 
-// Update applies news to the list and gives it in the decision module's form. Entries that make no sense are
-// passed over, the rest counts.
-func (b *Backends) Update(list membership.List, c drive.Clock) decision.BackendList {
-	out := decision.BackendList{Kind: decision.ListChanges}
-	switch {
-	case list.Whole && list.Saved:
-		out.Kind = decision.ListSaved
-	case list.Whole:
-		out.Kind = decision.ListFull
-	}
+// Apply takes in what has changed about backends. It holds for every attempt that begins after it returns.
+func (b *Backends) Apply(changes []membership.Change) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if list.Whole {
-		for _, be := range b.byName {
-			be.state = decision.Gone // unless listed
-		}
-	}
-	for _, n := range list.Nodes {
-		if err := n.Check(); err != nil {
-			b.log.Warn("an entry of the list that makes no sense", "err", err)
-			continue
-		}
-		be := b.byName[n.Name]
-		if be == nil {
-			if n.State == decision.Gone {
-				continue // never named, or forgotten
+	for _, c := range changes {
+		be := b.byID[c.ID]
+		switch {
+		case c.State == decision.Gone:
+			if be != nil {
+				b.pool.clear(be.place)
+				delete(b.byID, c.ID)
 			}
-			b.lastID++
-			be = &backend{id: b.lastID}
-			b.byName[n.Name], b.byID[be.id] = be, be
-		}
-		if be.place == nil || be.place.addr != n.Addr && n.Addr != "" || !be.started.Equal(n.Started) {
-			addr := n.Addr
-			if be.place != nil {
-				b.pool.clear(be.place) // its connections lead to what was there before
-				if addr == "" {
-					addr = be.place.addr
-				}
-			}
-			be.place = &place{addr: addr}
+			continue
+		case be == nil:
+			be = &backend{}
+			b.byID[c.ID] = be
+		case c.Moved:
+			b.pool.clear(be.place) // its connections lead to what was there before
+			be.place = nil
 		}
-		be.started, be.state = n.Started, n.State
-		out.Backends = append(out.Backends, decision.BackendInfo{ID: be.id, State: be.state, Zone: n.Zone, Kind: n.Kind,
-			Cell: n.Cell, Started: c.Unix(n.Started), Weight: n.Weight})
-	}
-	for name, be := range b.byName {
-		if be.state == decision.Gone {
-			b.pool.clear(be.place)
-			delete(b.byName, name) // if it comes back it is a new one, to the decision module as well
-			delete(b.byID, be.id)
+		if be.place == nil {
+			be.place = &place{addr: c.Addr}
 		}
+		be.state = c.State
 	}
-	return out
 }
 
 // ready gives the place of a backend that may be sent something now, else nil.
@@ -173,8 +141,7 @@
 func (b *Backends) Close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	clear(b.byName) // so that none is ready for another attempt
-	clear(b.byID)
+	clear(b.byID) // so that none is ready for another attempt
 	b.pool.end()
 }
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -19,14 +19,18 @@
 	Cell    int    // backends of one cell drop each other's repeats
 	State   decision.BackendState
 	Weight  float64
-	Started time.Time // when its process last started; the zero time: long ago
+	Started time.Time // when its process last started, or was registered; the zero time: long ago
+	Note    string    // why its source says so, for people
 }
 
 // List is news of the nodes.
 type List struct {
 	Whole bool // these are all nodes, and what is missing is gone; else only these have changed
 	Saved bool // with Whole: it is the list as last held before a restart, and may be old
+	Anew  bool // with Whole: its source began anew with other data; what it lacks may only not have come back yet
 	Nodes []Node
+	// Failed says that the source can't be heard, and why; nothing else is looked at. What it said stays.
+	Failed error
 }
 
 // Check tells what is wrong with a node, or nil.
--- a/membership/table.go
+++ b/membership/table.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"container/heap"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"pumicecroft/decision"
@@ -39,15 +41,37 @@
 	// ColdFor is how long a started node is called cold. It is a name only: the decision module has figures of its
 	// own for what a cold backend is sent.
 	ColdFor time.Duration // 15 s
-	// Most is how many nodes are kept, over all sources; one more is passed over until another is gone.
+	// Most is how many nodes are kept, over all sources; one more is passed over until another is gone. As many that
+	// are gone are remembered for a while, so that one that comes and goes has to earn its place too.
 	Most int // 20,000
+	// A whole list that lacks more than LossShare of what its source had listed, LossLeast nodes at the least, is more
+	// often the failure of a source than that of so many nodes. What it lacks is let go once the source has said so
+	// for LossFor and twice at the least, without failing meanwhile. If it lists nothing at all, or began anew with
+	// other data, that takes LossAll: nodes come back to an emptied catalogue within minutes, and until then a node
+	// that is really gone costs an attempt that provably never ran, where an emptied list costs every request.
+	LossShare float64       // 0.5
+	LossLeast int           // 3
+	LossFor   time.Duration // 1.5 s
+	LossAll   time.Duration // 5 min
+}
+
+// ghostFor is for how many times Forget a node that is gone is remembered.
+const ghostFor = 5
+
+// Origin is a source as a Table knows it.
+type Origin struct {
+	Name string
+	// Plain says that its word is taken as it stands: coming back need not be earned, and a list that lacks most
+	// nodes is believed at once. It suits a list that a person or the program itself has made.
+	Plain bool
 }
 
 func (r Rules) withDefaults() Rules {
 	for _, d := range []struct {
 		v  *time.Duration
 		is time.Duration
-	}{{&r.HoldFirst, time.Second}, {&r.HoldMost, time.Minute}, {&r.Forget, time.Minute}, {&r.ColdFor, 15 * time.Second}} {
+	}{{&r.HoldFirst, time.Second}, {&r.HoldMost, time.Minute}, {&r.Forget, time.Minute}, {&r.ColdFor, 15 * time.Second},
+		{&r.LossFor, 1500 * time.Millisecond}, {&r.LossAll, 5 * time.Minute}} {
 		if *d.v <= 0 {
 			*d.v = d.is
 		}
@@ -55,6 +79,12 @@
 	if r.Most <= 0 {
 		r.Most = 20_000
 	}
+	if r.LossShare <= 0 {
+		r.LossShare = 0.5
+	}
+	if r.LossLeast <= 0 {
+		r.LossLeast = 3
+	}
 	return r
 }
 
@@ -75,7 +105,9 @@
 	Until  time.Duration // a Suspect is taken back then
 	Times  int           // that it was out lately
 	Source string        // whose word decided
-	Old    bool          // that source has failed since
+	Old    bool          // that source has failed since, or has only told what was saved before a restart
+	Lacked bool          // its source's last list lacks it, and is not believed yet
+	Why    string        // in words
 }
 
 // member is one node.
@@ -86,7 +118,8 @@
 	told   Change  // what was emitted last
 	state  State
 	since  time.Duration
-	source int // whose word decided
+	source int  // whose word decided
+	plain  bool // the word that put it out was a plain source's
 	until  time.Duration
 	times  int
 	wellAt time.Duration // since when it has been well
@@ -103,35 +136,69 @@
 //   - It started, or was registered anew, when the latest of them says.
 //   - A node is gone when no source knows it any more.
 //   - A source that fails keeps its last words; they are marked old.
+//   - A list that lacks most nodes at once is believed by Rules.LossShare and what follows there.
 //
 // A change touches what it names: its cost does not grow with the number of nodes, but for a whole list, which is
 // compared with what its source said before.
 type Table struct {
 	rules   Rules
-	sources []string
-	failed  []bool
+	origins []origin
 	now     time.Duration
 	lastID  decision.BackendID
 	members map[string]*member
 	waits   waits
-	passed  int // reports of nodes that had no room
+	ghosts  map[string]ghost
+	order   []string // names of ghosts, the first to be forgotten first; some may have come back or gone again
+	passed  int      // reports of nodes that had no room
 	out     []Change
 }
 
+// origin is a source with what is kept of it.
+type origin struct {
+	Origin
+	failed bool
+	saved  bool            // it has told what was saved, and nothing since
+	known  int             // nodes that it has a word on
+	lacked map[string]bool // what its last whole list lacked and is not believed to be gone yet
+	since  time.Duration   // of lacked
+	hold   time.Duration   // for how long it must be lacked
+	told   int             // lists that lacked it
+}
+
+// ghost is what is remembered of a node that is gone.
+type ghost struct {
+	times int
+	at    time.Duration
+}
+
 // NewTable starts a table of sources, the first to be believed first.
-func NewTable(rules Rules, sources ...string) *Table {
-	return &Table{rules: rules.withDefaults(), sources: sources, failed: make([]bool, len(sources)), members: map[string]*member{}}
+func NewTable(rules Rules, sources ...Origin) *Table {
+	t := &Table{rules: rules.withDefaults(), members: map[string]*member{}, ghosts: map[string]ghost{}}
+	for _, o := range sources {
+		t.origins = append(t.origins, origin{Origin: o})
+	}
+	return t
+}
+
+// source finds a source by name, or gives -1.
+func (t *Table) source(name string) int {
+	return slices.IndexFunc(t.origins, func(o origin) bool { return o.Name == name })
 }
 
 // Report takes in what a source says. started turns a node's start into the table's time. Entries that make no
 // sense are passed over, and come back in bad; the rest counts. The changes are good until the next call.
 func (t *Table) Report(now time.Duration, source string, l List, started func(time.Time) time.Duration) (changes []Change, bad []error) {
 	t.begin(now)
-	s := slices.Index(t.sources, source)
+	s := t.source(source)
 	if s < 0 {
 		return t.out, nil
 	}
-	t.failed[s] = false
+	if l.Failed != nil {
+		t.fail(s)
+		return t.out, nil
+	}
+	o := &t.origins[s]
+	o.failed, o.saved = false, l.Whole && l.Saved || o.saved && !l.Whole
 	listed := map[string]bool{}
 	for _, n := range l.Nodes {
 		if err := n.Check(); err != nil {
@@ -141,32 +208,97 @@
 		if l.Whole {
 			listed[n.Name] = true
 		}
+		delete(o.lacked, n.Name)
 		t.say(s, n, started)
 	}
 	if l.Whole {
 		var missing []string
 		for name, m := range t.members {
-			if m.words[s] != nil && !listed[name] {
+			if m.words[s] != nil && !listed[name] && !o.lacked[name] {
 				missing = append(missing, name)
 			}
 		}
 		slices.Sort(missing) // so that what comes out does not hang on the map's order
+		t.lose(s, missing, l)
+	}
+	return t.out, bad
+}
+
+// lose deals with what a source's whole list lacks and was not lacked before.
+func (t *Table) lose(s int, missing []string, l List) {
+	o := &t.origins[s]
+	if len(o.lacked) > 0 {
+		o.told++
+	}
+	empty := len(l.Nodes) == 0 || l.Anew
+	doubtful := !o.Plain && len(missing) >= t.rules.LossLeast && float64(len(missing)) > t.rules.LossShare*float64(o.known)
+	if !o.Plain && empty && len(missing) > 0 {
+		doubtful = true // few, but all, or in a list of other data
+	}
+	if !doubtful {
 		for _, name := range missing {
-			t.say(s, Node{Name: name, State: decision.Gone}, started)
+			t.drop(s, name)
+		}
+	} else {
+		if len(o.lacked) == 0 {
+			o.lacked, o.since, o.hold, o.told = map[string]bool{}, t.now, t.rules.LossFor, 1
+		}
+		if empty {
+			o.hold = t.rules.LossAll
+		}
+		for _, name := range missing {
+			o.lacked[name] = true
 		}
 	}
-	return t.out, bad
+	t.believe(o)
+}
+
+// drop takes a source's word on a node back.
+func (t *Table) drop(s int, name string) {
+	t.say(s, Node{Name: name, State: decision.Gone}, func(time.Time) time.Duration { return 0 })
+}
+
+// due is when what a source lacks is believed to be gone, if nothing else happens.
+func (o *origin) due() (time.Duration, bool) {
+	return o.since + o.hold, len(o.lacked) > 0 && o.told >= 2 && !o.failed
+}
+
+// believe lets go what a source has lacked for long enough.
+func (t *Table) believe(o *origin) {
+	if at, ok := o.due(); !ok || t.now < at {
+		return
+	}
+	var names []string
+	for name := range o.lacked {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	o.lacked = nil
+	for _, name := range names {
+		t.drop(t.source(o.Name), name)
+	}
+}
+
+// Doubts tells whether a source lacks nodes that are kept for now: it should say again what it lists.
+func (t *Table) Doubts(source string) bool {
+	s := t.source(source)
+	return s >= 0 && len(t.origins[s].lacked) > 0
 }
 
 // Fail tells that a source can't be heard. Its last words stay.
 func (t *Table) Fail(now time.Duration, source string) []Change {
 	t.begin(now)
-	if s := slices.Index(t.sources, source); s >= 0 {
-		t.failed[s] = true
+	if s := t.source(source); s >= 0 {
+		t.fail(s)
 	}
 	return t.out
 }
 
+func (t *Table) fail(s int) {
+	o := &t.origins[s]
+	o.failed, o.since, o.told = true, t.now, 0 // what it lacked counts from when it is heard again
+}
+
 // Tick lets what has come due happen. Next tells when that is.
 func (t *Table) Tick(now time.Duration) []Change {
 	t.begin(now)
@@ -175,10 +307,15 @@
 
 // Next is when Tick wants to be called, if anything waits.
 func (t *Table) Next() (at time.Duration, ok bool) {
-	if len(t.waits) == 0 {
-		return 0, false
+	if len(t.waits) > 0 {
+		at, ok = t.waits[0].at, true
+	}
+	for i := range t.origins {
+		if due, waits := t.origins[i].due(); waits && (!ok || due < at) {
+			at, ok = due, true
+		}
 	}
-	return t.waits[0].at, true
+	return at, ok
 }
 
 // Len is how many nodes are kept.
@@ -191,23 +328,66 @@
 func (t *Table) Views() []View {
 	var out []View
 	for _, m := range t.members {
-		w := m.words[m.first()]
-		v := View{Node: *w, ID: m.id, Belief: m.state, Since: m.since, Times: m.times, Source: t.sources[m.source],
-			Old: t.failed[m.source]}
+		w, o := m.words[m.first()], &t.origins[m.source]
+		v := View{Node: *w, ID: m.id, Belief: m.state, Since: m.since, Times: m.times, Source: o.Name,
+			Old: o.failed || o.saved}
+		for s := range t.origins {
+			v.Lacked = v.Lacked || t.origins[s].lacked[m.name]
+		}
 		if m.state == Suspect {
 			v.Until = m.until
 		}
 		if v.Belief == Ready && m.told.Started > 0 && t.now-m.told.Started < t.rules.ColdFor {
 			v.Belief = Cold
 		}
+		v.Why = why(v, m.words[m.source])
 		out = append(out, v)
 	}
 	slices.SortFunc(out, func(a, b View) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
+// why says in words what a view rests on. w is the word that decided.
+func why(v View, w *Node) string {
+	var parts []string
+	add := func(format string, args ...any) { parts = append(parts, fmt.Sprintf(format, args...)) }
+	switch v.Belief {
+	case Suspect:
+		add("%s says that it is well again; it was out %d times lately", v.Source, v.Times)
+	case Draining:
+		add("%s says that it takes nothing new", v.Source)
+	case Cold:
+		add("it started or was registered lately")
+	default:
+		add("%s says that it is ready", v.Source)
+	}
+	if w != nil && w.Note != "" {
+		add("%s", w.Note)
+	}
+	if v.Lacked {
+		add("the last list lacks it and most others, and is not believed yet")
+	}
+	if v.Old {
+		add("%s has not been heard since", v.Source)
+	}
+	return strings.Join(parts, "; ")
+}
+
 func (t *Table) begin(now time.Duration) {
 	t.now, t.out = max(t.now, now), t.out[:0]
+	for i := range t.origins {
+		t.believe(&t.origins[i])
+	}
+	for len(t.order) > 0 {
+		g, ok := t.ghosts[t.order[0]]
+		if ok && t.now-g.at < ghostFor*t.rules.Forget && len(t.order) <= t.rules.Most {
+			break
+		}
+		if ok && (t.now-g.at >= ghostFor*t.rules.Forget || len(t.order) > t.rules.Most) {
+			delete(t.ghosts, t.order[0])
+		}
+		t.order = t.order[1:]
+	}
 	for len(t.waits) > 0 && t.waits[0].at <= t.now {
 		m := heap.Pop(&t.waits).(*member)
 		t.judge(m, m.told.Started)
@@ -226,13 +406,29 @@
 			return
 		}
 		t.lastID++
-		m = &member{name: n.Name, id: t.lastID, words: make([]*Node, len(t.sources)), since: t.now, wellAt: t.now}
+		m = &member{name: n.Name, id: t.lastID, words: make([]*Node, len(t.origins)), since: t.now, wellAt: t.now}
 		t.members[n.Name] = m
+		if g, ok := t.ghosts[n.Name]; ok { // it was here before
+			m.times = g.times - int((t.now-g.at)/t.rules.Forget)
+			if m.times > 0 && !t.origins[s].Plain {
+				m.state = Draining
+			}
+			m.times = max(0, m.times)
+			delete(t.ghosts, n.Name)
+		}
 	}
-	if n.State == decision.Gone {
+	switch {
+	case n.State == decision.Gone:
+		if m.words[s] != nil {
+			t.origins[s].known--
+		}
 		m.words[s] = nil
-	} else {
-		if n.Addr == "" && m.words[s] != nil {
+		delete(t.origins[s].lacked, n.Name)
+	case m.words[s] == nil:
+		t.origins[s].known++
+		m.words[s] = &n
+	default:
+		if n.Addr == "" {
 			n.Addr = m.words[s].Addr
 		}
 		m.words[s] = &n
@@ -257,11 +453,18 @@
 	if first < 0 {
 		t.unwait(m)
 		delete(t.members, m.name)
-		if m.state != Unknown {
+		if m.told.ID != 0 {
 			gone := m.told
 			gone.State, gone.Moved = decision.Gone, false
 			t.out = append(t.out, gone)
 		}
+		if m.state != Draining {
+			m.times++
+		}
+		if !t.origins[m.source].Plain && m.told.ID != 0 {
+			t.ghosts[m.name] = ghost{m.times, t.now}
+			t.order = append(t.order, m.name)
+		}
 		return
 	}
 	out := -1 // the first source that says that it must not be sent anything new
@@ -277,7 +480,8 @@
 		if m.state != Draining && m.state != Unknown { // it was in, or on its way
 			m.times++
 		}
-	case m.state == Draining:
+		m.plain = t.origins[out].Plain
+	case m.state == Draining && !m.plain:
 		m.wellAt = t.now
 		m.until = t.now + t.hold(m)
 		state = Suspect
