Consul: blocking queries, what entries mean, a source on Consul's client, lists kept on disk

Change: internal/blocking (pure) paces blocking queries: index, back-off, limits against a server that answers at once, answers that are believed in part only. internal/registry (pure) says what entries mean: states, weights, zones and cells by a mapping, what is new and so cold. consul drives both over github.com/hashicorp/consul/api and registers a door with a TTL check. internal/prepared keeps lists on disk, checksummed and renamed into place; Config.StateDir turns that on. internal/standin has a Consul agent from the public documentation, with faults on demand. The table keeps words by source compactly.

--- a/config.go
+++ b/config.go
@@ -25,6 +25,9 @@
 	Known membership.List
 	// Membership says how the reports of several sources are weighed.
 	Membership membership.Rules
+	// StateDir is a directory that outlives the process, for lists of members: what sources that are not plain have
+	// told is kept there, and is what a Door begins with until they are heard. Empty: nothing is kept.
+	StateDir string
 
 	BackendConns   int           // connections to all backends together, idle ones among them; 256
 	ConnectTimeout time.Duration // a connection that is not up by then counts as failed; 250 ms
--- /dev/null
+++ b/consul/consul.go
@@ -0,0 +1,333 @@
+// Package consul supplies a Door's backends from Consul: its catalogue says what exists, its health API what may be
+// sent to. It asks with blocking queries over Consul's own client; what answers mean is settled by packages that do no
+// I/O (internal/blocking, internal/registry). It also registers a front door at its agent (register.go).
+//
+// Each service is a source of its own: see Client.Service. For what is not in the Config, Consul's client takes the
+// environment's CONSUL_HTTP_TOKEN, CONSUL_NAMESPACE and CONSUL_PARTITION, as all its users do.
+package consul
+
+import (
+	"cmp"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+
+	"pumicecroft/internal/blocking"
+	"pumicecroft/internal/registry"
+	"pumicecroft/membership"
+)
+
+// ErrConfig is a Config that makes no sense, or names files that can't be read.
+var ErrConfig = errors.New("consul: configuration")
+
+// ErrPartly is an answer that was not believed in whole: without a leader, too old, or with entries that ACLs took away.
+var ErrPartly = errors.New("consul: an answer that is not believed in whole")
+
+// Consistency says how fresh answers must be, at what cost ("Consistency Modes" in Consul's API documentation).
+type Consistency int
+
+// The modes.
+const (
+	Default    Consistency = iota
+	Stale                  // any server answers, also without a leader; Config.MaxStale bounds how old it may be
+	Consistent             // the leader asks its peers first
+)
+
+// Config says how an agent or server is reached.
+type Config struct {
+	Address string // host:port, http://host:port, https://host:port or unix:///path
+	// TokenFile holds the ACL token; it is read again for each question. Empty: none.
+	TokenFile                        string
+	Datacenter, Namespace, Partition string // empty: the agent's own
+	// CAFile, CertFile and KeyFile are PEM files, for https. The client's certificate is read again for each connection.
+	CAFile, CertFile, KeyFile string
+	ServerName                string // in the server's certificate; empty: the address's host
+	Consistency               Consistency
+	// Rules are the figures of blocking queries; what is 0 takes the default.
+	Wait, MaxStale, RetryMost time.Duration
+	// Seed makes the random part of waits; 0: the time.
+	Seed uint64
+}
+
+// Mapping says where a node's attributes stand: a key of the service's meta, "node:KEY" of the node's, or "datacenter".
+type Mapping = registry.Mapping
+
+// Service is a service whose instances are backends.
+type Service struct {
+	Name   string
+	Tags   []string // an instance must have them all
+	Near   string   // order of answers; a node's name or _agent
+	Filter string   // an expression over the health API's fields
+	// HealthOnly leaves the catalogue out: what health lists exists.
+	HealthOnly bool
+	Mapping    Mapping
+}
+
+// Client reaches one agent or server. It is safe for concurrent use.
+type Client struct {
+	config Config
+	api    *api.Client
+}
+
+// New checks a Config; it connects nowhere. The error is an ErrConfig.
+func New(c Config) (*Client, error) {
+	bad := func(err error) (*Client, error) { return nil, fmt.Errorf("%w: %w", ErrConfig, err) }
+	scheme, addr, found := strings.Cut(c.Address, "://")
+	if !found {
+		scheme, addr = "http", c.Address
+	}
+	dialer := &net.Dialer{Timeout: 2 * time.Second, KeepAlive: 5 * time.Second}
+	transport := &http.Transport{DialContext: dialer.DialContext, TLSHandshakeTimeout: 2 * time.Second, MaxIdleConnsPerHost: 64,
+		IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: 64 << 10}
+	switch scheme {
+	case "unix":
+		path := addr
+		transport.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) { return dialer.DialContext(ctx, "unix", path) }
+		scheme, addr = "http", "localhost"
+	case "http", "https":
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil || host == "" {
+			return bad(fmt.Errorf("address %q is no host:port", c.Address))
+		}
+	default:
+		return bad(fmt.Errorf("address %q: there are http, https and unix", c.Address))
+	}
+	if scheme == "https" {
+		t, err := api.SetupTLSConfig(&api.TLSConfig{Address: cmp.Or(c.ServerName, addr), CAFile: c.CAFile})
+		if err != nil {
+			return bad(err)
+		}
+		if c.CertFile != "" || c.KeyFile != "" {
+			load := func() (*tls.Certificate, error) {
+				pair, err := tls.LoadX509KeyPair(c.CertFile, c.KeyFile)
+				return &pair, err
+			}
+			if _, err := load(); err != nil {
+				return bad(err)
+			}
+			t.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return load() }
+		}
+		transport.TLSClientConfig = t
+	} else if c.CAFile != "" || c.CertFile != "" || c.KeyFile != "" {
+		return bad(fmt.Errorf("TLS files with an address that is not https: %q", c.Address))
+	}
+	if c.TokenFile != "" {
+		if _, err := readToken(c.TokenFile); err != nil {
+			return bad(err)
+		}
+	}
+	if c.Seed == 0 {
+		c.Seed = uint64(time.Now().UnixNano())
+	}
+	a, err := api.NewClient(&api.Config{Address: addr, Scheme: scheme, Transport: transport,
+		HttpClient: &http.Client{Transport: limited{transport}}, Datacenter: c.Datacenter, Namespace: c.Namespace, Partition: c.Partition})
+	if err != nil {
+		return bad(err)
+	}
+	return &Client{c, a}, nil
+}
+
+func readToken(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	token := strings.TrimSpace(string(text))
+	if token == "" || len(token) > 4096 {
+		return "", fmt.Errorf("%s: it holds no token", path)
+	}
+	return token, nil
+}
+
+// maxAnswer bounds an answer, in bytes.
+const maxAnswer = 64 << 20
+
+// limited cuts answers that are too long.
+type limited struct{ http.RoundTripper }
+
+func (l limited) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := l.RoundTripper.RoundTrip(r)
+	if err == nil {
+		res.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.LimitReader(res.Body, maxAnswer), res.Body}
+	}
+	return res, err
+}
+
+// options are a question's.
+func (c *Client) options(ctx context.Context) (*api.QueryOptions, error) {
+	o := &api.QueryOptions{AllowStale: c.config.Consistency == Stale, RequireConsistent: c.config.Consistency == Consistent}
+	if c.config.TokenFile != "" {
+		token, err := readToken(c.config.TokenFile)
+		if err != nil {
+			return nil, err
+		}
+		o.Token = token
+	}
+	return o.WithContext(ctx), nil
+}
+
+// Watch follows one service. It is a source for a Door, under the name that Origin gives.
+type Watch struct {
+	client  *Client
+	service Service
+}
+
+// Service makes a source of a service.
+func (c *Client) Service(s Service) *Watch { return &Watch{c, s} }
+
+// Origin is what the source is called: two watches of one service are the same source.
+func (w *Watch) Origin() membership.Origin {
+	return membership.Origin{Name: "consul:" + w.service.Name}
+}
+
+// Run follows the service until ctx ends.
+func (w *Watch) Run(ctx context.Context, update func(membership.List)) {
+	book := registry.NewBook(w.service.Mapping, !w.service.HealthOnly)
+	var mu sync.Mutex // so that lists are told in the order in which they were made
+	tell := func(v blocking.Verdict, what func(now time.Time) error) {
+		mu.Lock()
+		defer mu.Unlock()
+		now := time.Now()
+		err := what(now)
+		if l, ok := book.List(now); ok {
+			l.Anew = v.Anew
+			update(l)
+		}
+		if err != nil {
+			update(membership.List{Failed: err})
+		}
+	}
+	var ran sync.WaitGroup
+	defer ran.Wait()
+	if !w.service.HealthOnly {
+		ran.Go(func() {
+			w.follow(ctx, 2, func(o *api.QueryOptions) (blocking.Answer, func(blocking.Verdict), error) {
+				entries, meta, err := w.client.api.Catalog().ServiceMultipleTags(w.service.Name, w.service.Tags, o)
+				if err != nil {
+					return blocking.Answer{}, nil, err
+				}
+				return head(meta, len(entries)), func(v blocking.Verdict) {
+					tell(v, func(time.Time) error {
+						if !v.Whole {
+							return nil // health says so too
+						}
+						names := make([]string, 0, len(entries))
+						for _, e := range entries {
+							names = append(names, registry.Name(e.Node, e.ServiceID))
+						}
+						book.Catalogue(names)
+						return nil
+					})
+				}, nil
+			}, func(error) { // health goes on alone, and says so itself if it fails too
+				mu.Lock()
+				defer mu.Unlock()
+				if book.CatalogueFailed() {
+					if l, ok := book.List(time.Now()); ok {
+						update(l)
+					}
+				}
+			})
+		})
+	}
+	w.follow(ctx, 1, func(o *api.QueryOptions) (blocking.Answer, func(blocking.Verdict), error) {
+		o.Near, o.Filter = w.service.Near, w.service.Filter
+		found, meta, err := w.client.api.Health().ServiceMultipleTags(w.service.Name, w.service.Tags, false, o)
+		if err != nil {
+			return blocking.Answer{}, nil, err
+		}
+		return head(meta, len(found)), func(v blocking.Verdict) {
+			tell(v, func(now time.Time) error {
+				errs := book.Health(now, entries(found), v.Whole, v.Anew)
+				if !v.Whole {
+					return fmt.Errorf("%w: %s", ErrPartly, v.Why)
+				}
+				return errors.Join(errs...)
+			})
+		}, nil
+	}, func(err error) { update(membership.List{Failed: err}) })
+}
+
+// follow asks a blocking query until ctx ends. ask gives an answer's head and what to do with the rest.
+func (w *Watch) follow(ctx context.Context, number uint64, ask func(*api.QueryOptions) (blocking.Answer, func(blocking.Verdict), error),
+	failed func(error)) {
+	start := time.Now()
+	c := w.client.config
+	loop := blocking.New(blocking.Rules{Wait: c.Wait, MaxStale: c.MaxStale, RetryMost: c.RetryMost}, c.Seed+number)
+	pause := time.NewTimer(0)
+	defer pause.Stop()
+	for {
+		q := loop.Next()
+		pause.Reset(max(0, q.At-time.Since(start)))
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			return
+		}
+		loop.Asked(time.Since(start))
+		asking, cancel := context.WithTimeoutCause(ctx, q.Patience, errSilent)
+		o, err := w.client.options(asking)
+		var answer blocking.Answer
+		var then func(blocking.Verdict)
+		if err == nil {
+			o.WaitIndex, o.WaitTime = q.Index, q.Wait
+			answer, then, err = ask(o)
+		}
+		if cause := context.Cause(asking); err != nil && cause != nil {
+			err = cause
+		}
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			loop.Failed(time.Since(start))
+			failed(fmt.Errorf("consul: %s: %w", w.service.Name, err))
+			continue
+		}
+		then(loop.Answered(time.Since(start), answer))
+	}
+}
+
+var errSilent = errors.New("no answer in time")
+
+func head(m *api.QueryMeta, size int) blocking.Answer {
+	return blocking.Answer{Index: m.LastIndex, KnownLeader: m.KnownLeader, LastContact: m.LastContact,
+		Filtered: m.ResultsFilteredByACLs, Size: size}
+}
+
+// entries are an answer's, in the registry's terms.
+func entries(found []*api.ServiceEntry) []registry.Entry {
+	var out []registry.Entry
+	for _, f := range found {
+		if f == nil || f.Service == nil || f.Node == nil {
+			continue
+		}
+		e := registry.Entry{Node: f.Node.Node, ID: f.Service.ID, Datacenter: f.Node.Datacenter, Meta: f.Service.Meta, NodeMeta: f.Node.Meta,
+			Addr:    net.JoinHostPort(cmp.Or(f.Service.Address, f.Node.Address), strconv.Itoa(f.Service.Port)),
+			Passing: float64(f.Service.Weights.Passing), Warning: float64(f.Service.Weights.Warning), Create: f.Service.CreateIndex}
+		for _, k := range f.Checks {
+			if k == nil {
+				continue
+			}
+			e.Checks = append(e.Checks, registry.Check{ID: k.CheckID, Status: k.Status, Output: k.Output})
+			e.Maintenance = e.Maintenance || k.CheckID == api.NodeMaint || strings.HasPrefix(k.CheckID, api.ServiceMaintPrefix)
+		}
+		out = append(out, e)
+	}
+	return out
+}
--- a/door.go
+++ b/door.go
@@ -99,7 +99,8 @@
 
 	update  sync.Mutex // changes reach the core in the order in which they reached the backends
 	members *membership.Table
-	due     *time.Timer // when members wants to be called
+	keepers map[string]*keeper // by source
+	due     *time.Timer        // when members wants to be called
 	stop    context.CancelFunc
 	ran     sync.WaitGroup
 	closing atomic.Bool
@@ -129,8 +130,9 @@
 		config.Seed = rand.Uint64()
 	}
 	d := &Door{config: config, classes: map[string]decision.Class{}, plans: map[string]bool{},
-		log:    slog.New(slog.DiscardHandler),
-		badLog: rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second},
+		keepers: map[string]*keeper{},
+		log:     slog.New(slog.DiscardHandler),
+		badLog:  rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second},
 		listLog: rate.Sometimes{First: 10, Interval: time.Second}}
 	d.mapper = d.PlatformRequest
 	for _, o := range options {
@@ -180,6 +182,15 @@
 	d.update.Unlock()
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
+	if config.StateDir != "" {
+		for _, o := range origins {
+			if !o.Plain {
+				k := newKeeper(d, o.Name)
+				d.keepers[o.Name] = k
+				d.ran.Go(func() { k.run(ctx) })
+			}
+		}
+	}
 	for _, o := range d.sources {
 		d.ran.Go(func() { o.source.Run(ctx, func(l membership.List) { d.report(o.Name, l) }) })
 	}
@@ -198,6 +209,9 @@
 		return
 	}
 	clock := d.driver.Clock()
+	if k := d.keepers[source]; k != nil {
+		k.heard(&list)
+	}
 	changes, bad := d.members.Report(clock.Now(), source, list, clock.Unix)
 	if list.Failed != nil {
 		d.listLog.Do(func() {
--- /dev/null
+++ b/internal/prepared/prepared.go
@@ -0,0 +1,143 @@
+// Package prepared keeps lists of members on disk, so that a front door that starts while their source can't be reached
+// has one to begin with. A file is written beside the old one and renamed over it; it begins with a line that names its
+// form, its source and the checksum of the rest, and one that is torn, truncated or another's is refused. The package
+// reads and writes files and knows nothing of what becomes of a list.
+package prepared
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/membership"
+)
+
+// Errors of Read. A file that is not there is fs.ErrNotExist.
+var (
+	ErrTorn    = errors.New("it is torn or damaged")
+	ErrForeign = errors.New("it is not a list of members of this source")
+)
+
+// maxFile bounds a file, in bytes.
+const maxFile = 64 << 20
+
+// form is the first word of a file; another number is another form.
+const form = "pumicecroft-members-1"
+
+// head is a file's first line.
+type head struct {
+	Form   string `json:"form"`
+	Source string `json:"source"`
+	SHA256 string `json:"sha256"` // of the rest
+	Size   int    `json:"size"`   // of the rest, in bytes
+}
+
+type body struct {
+	At    time.Time `json:"at"`
+	Nodes []node    `json:"nodes"`
+}
+
+type node struct {
+	Name     string    `json:"name"`
+	Addr     string    `json:"address"`
+	Zone     string    `json:"zone,omitempty"`
+	Kind     string    `json:"model,omitempty"`
+	Cell     int       `json:"cell"`
+	Draining bool      `json:"draining,omitempty"`
+	Weight   float64   `json:"weight"`
+	Started  time.Time `json:"started,omitzero"`
+	Note     string    `json:"note,omitempty"`
+}
+
+// Path is where a source's list is kept in a directory.
+func Path(dir, source string) string { return filepath.Join(dir, url.PathEscape(source)+".members") }
+
+// Write keeps a source's nodes, as of a time, in a directory that exists. Whatever fails, the file is the old one or the
+// new one, whole.
+func Write(dir, source string, nodes []membership.Node, at time.Time) error {
+	b := body{At: at.Round(0)}
+	for _, n := range nodes {
+		b.Nodes = append(b.Nodes, node{n.Name, n.Addr, n.Zone, n.Kind, n.Cell, n.State != decision.Ready, n.Weight, n.Started.Round(0), n.Note})
+	}
+	rest, err := json.Marshal(b)
+	if err != nil {
+		return err
+	}
+	sum := sha256.Sum256(rest)
+	first, err := json.Marshal(head{form, source, hex.EncodeToString(sum[:]), len(rest)})
+	if err != nil {
+		return err
+	}
+	f, err := os.CreateTemp(dir, ".members-*")
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(append(append(first, '\n'), rest...))
+	err = errors.Join(err, f.Sync(), f.Close())
+	if err == nil {
+		err = os.Rename(f.Name(), Path(dir, source))
+	}
+	if err != nil {
+		return errors.Join(err, os.Remove(f.Name()))
+	}
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close()) // so that the new name is there after a loss of power
+}
+
+// Read gives a source's nodes as they were kept, and of when. The error names the file.
+func Read(dir, source string) (nodes []membership.Node, at time.Time, err error) {
+	path := Path(dir, source)
+	bad := func(err error) ([]membership.Node, time.Time, error) {
+		return nil, time.Time{}, fmt.Errorf("%s: %w", path, err)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, time.Time{}, err // it names the file
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+	if err != nil {
+		return bad(err)
+	}
+	if len(text) > maxFile {
+		return bad(fmt.Errorf("%w: it has more than %d bytes", ErrForeign, maxFile))
+	}
+	first, rest, found := bytes.Cut(text, []byte("\n"))
+	var h head
+	if err := json.Unmarshal(first, &h); err != nil || !found {
+		if bytes.HasPrefix(text, []byte(`{"form":"`+form)) || len(text) == 0 {
+			return bad(ErrTorn)
+		}
+		return bad(ErrForeign)
+	}
+	if h.Form != form || h.Source != source {
+		return bad(fmt.Errorf("%w: it is %.40q of %.80q", ErrForeign, h.Form, h.Source))
+	}
+	if sum := sha256.Sum256(rest); len(rest) != h.Size || hex.EncodeToString(sum[:]) != h.SHA256 {
+		return bad(fmt.Errorf("%w: %d bytes of %d", ErrTorn, len(rest), h.Size))
+	}
+	var b body
+	if err := json.Unmarshal(rest, &b); err != nil {
+		return bad(fmt.Errorf("%w: %w", ErrTorn, err))
+	}
+	for _, n := range b.Nodes {
+		m := membership.Node{Name: n.Name, Addr: n.Addr, Zone: n.Zone, Kind: n.Kind, Cell: n.Cell, Weight: n.Weight, Started: n.Started, Note: n.Note}
+		if n.Draining {
+			m.State = decision.Draining
+		}
+		nodes = append(nodes, m)
+	}
+	return nodes, b.At, nil
+}
--- /dev/null
+++ b/internal/prepared/prepared_test.go
@@ -0,0 +1,108 @@
+package prepared
+
+import (
+	"bytes"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/membership"
+)
+
+var kept = []membership.Node{
+	{Name: "n/a", Addr: "10.0.0.1:80", Zone: "z", Kind: "m", Cell: 3, Weight: 2, Started: time.Unix(1_800_000_000, 5).UTC()},
+	{Name: "n/b", Addr: "[::1]:80", State: decision.Draining, Note: "critical: web", Weight: 1},
+}
+
+func TestWhatIsWrittenIsRead(t *testing.T) {
+	dir := t.TempDir()
+	at := time.Unix(1_800_000_009, 0).UTC()
+	if _, _, err := Read(dir, "consul:web/x"); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("no file: %v", err)
+	}
+	for _, nodes := range [][]membership.Node{kept, kept[:1], nil, kept} {
+		if err := Write(dir, "consul:web/x", nodes, at); err != nil {
+			t.Fatal(err)
+		}
+		got, when, err := Read(dir, "consul:web/x")
+		if err != nil || !when.Equal(at) || !reflect.DeepEqual(got, nodes) {
+			t.Errorf("%+v at %v, %v; want %+v", got, when, err, nodes)
+		}
+	}
+	if left, _ := filepath.Glob(filepath.Join(dir, "*")); len(left) != 1 {
+		t.Errorf("left behind: %q", left)
+	}
+	if left, _ := filepath.Glob(filepath.Join(dir, ".*")); len(left) != 0 {
+		t.Errorf("left behind: %q", left)
+	}
+}
+
+// A file that lost its end, or had any byte changed, is refused, wherever that is.
+func TestDamageIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	if err := Write(dir, "s", kept, time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	good, err := os.ReadFile(Path(dir, "s"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := func(what string, i int, text []byte) {
+		if err := os.WriteFile(Path(dir, "s"), text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := Read(dir, "s"); !errors.Is(err, ErrTorn) && !errors.Is(err, ErrForeign) {
+			t.Errorf("%s at %d: %v", what, i, err)
+		}
+	}
+	for i := range good {
+		refused("cut", i, good[:i])
+		changed := bytes.Clone(good)
+		changed[i] ^= 0x04
+		refused("changed", i, changed)
+	}
+	refused("more behind it", len(good), append(bytes.Clone(good), '\n'))
+}
+
+func TestWhatIsNotOursIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	if err := Write(dir, "other", kept, time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(Path(dir, "other"), Path(dir, "s")); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Read(dir, "s"); !errors.Is(err, ErrForeign) {
+		t.Errorf("another source's: %v", err)
+	}
+	for _, text := range []string{"hello\nworld", `{"form":"pumicecroft-members-2","source":"s"}` + "\n{}", "[]\n[]", "\x00\x00\n"} {
+		if err := os.WriteFile(Path(dir, "s"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := Read(dir, "s"); !errors.Is(err, ErrForeign) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+// What can't be written leaves the old file as it was.
+func TestAWriteThatFails(t *testing.T) {
+	dir := t.TempDir()
+	if err := Write(filepath.Join(dir, "none"), "s", kept, time.Unix(1, 0)); err == nil {
+		t.Error("into a directory that is not there: no error")
+	}
+	if err := os.Mkdir(Path(dir, "s"), 0o700); err != nil { // the rename fails
+		t.Fatal(err)
+	}
+	if err := Write(dir, "s", kept, time.Unix(1, 0)); err == nil {
+		t.Error("over a directory: no error")
+	}
+	if left, _ := filepath.Glob(filepath.Join(dir, ".*")); len(left) != 0 {
+		t.Errorf("left behind: %q", left)
+	}
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,203 @@
+package registry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pumicecroft/decision"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+// entry is "id" with options: a check's state, and changes.
+func entry(id string, change ...func(*Entry)) Entry {
+	e := Entry{Node: "n", ID: id, Addr: "10.0.0.1:80", Passing: 1, Warning: 1, Create: 5, Checks: []Check{{ID: "web", Status: "passing"}}}
+	for _, c := range change {
+		c(&e)
+	}
+	return e
+}
+
+func status(s string) func(*Entry) { return func(e *Entry) { e.Checks[0].Status = s } }
+func create(n uint64) func(*Entry) { return func(e *Entry) { e.Create = n } }
+func addr(a string) func(*Entry)   { return func(e *Entry) { e.Addr = a } }
+func meta(k, v string) func(*Entry) {
+	return func(e *Entry) { e.Meta = map[string]string{k: v} }
+}
+
+// told is what a book believes, as "n/a:ready^3" with the start in seconds after t0.
+func told(b *Book, now time.Time) string {
+	l, ok := b.List(now)
+	if !ok {
+		return "nothing yet"
+	}
+	var out []string
+	for _, n := range l.Nodes {
+		s := n.Name + ":" + []string{"ready", "draining", "gone"}[n.State]
+		if !n.Started.IsZero() {
+			s += fmt.Sprintf("^%v", n.Started.Sub(t0).Seconds())
+		}
+		out = append(out, s)
+	}
+	return strings.Join(out, " ")
+}
+
+func want(t *testing.T, b *Book, at float64, want string) {
+	t.Helper()
+	if got := told(b, t0.Add(time.Duration(at*1e9))); got != want {
+		t.Errorf("at %v: %q, want %q", at, got, want)
+	}
+}
+
+func health(t *testing.T, b *Book, at float64, es ...Entry) {
+	t.Helper()
+	if bad := b.Health(t0.Add(time.Duration(at*1e9)), es, true, false); len(bad) > 0 {
+		t.Error(bad)
+	}
+}
+
+func TestChecks(t *testing.T) {
+	for name, c := range map[string]struct {
+		entry Entry
+		serve bool
+		state decision.BackendState
+		note  string
+		w     float64
+	}{
+		"passing":           {entry("a", func(e *Entry) { e.Passing = 3 }), false, decision.Ready, "", 3},
+		"no checks":         {entry("a", func(e *Entry) { e.Checks = nil }), false, decision.Ready, "", 1},
+		"critical":          {entry("a", status("critical"), func(e *Entry) { e.Checks[0].Output = "refused" }), true, decision.Draining, "critical: web: refused", 1},
+		"unknown":           {entry("a", status("perhaps")), true, decision.Draining, "perhaps: web", 1},
+		"warning drains":    {entry("a", status("warning"), func(e *Entry) { e.Warning = 2 }), false, decision.Draining, "warning: web", 2},
+		"warning by choice": {entry("a", status("warning"), func(e *Entry) { e.Warning = 2 }), true, decision.Ready, "warning: web", 2},
+		"maintenance":       {entry("a", func(e *Entry) { e.Maintenance = true }), true, decision.Draining, "maintenance", 1},
+		"the worst of two": {entry("a", status("warning"), func(e *Entry) { e.Checks = append(e.Checks, Check{"disk", "critical", ""}) }),
+			true, decision.Draining, "critical: disk", 1},
+		"weight 0":  {entry("a", func(e *Entry) { e.Passing = 0 }), false, decision.Ready, "", 1},
+		"long note": {entry("a", status("critical"), func(e *Entry) { e.Checks[0].Output = strings.Repeat("é", 500) }), false, decision.Draining, "", 1},
+	} {
+		b := NewBook(Mapping{ServeWarning: c.serve}, false)
+		health(t, b, 0, c.entry)
+		l, _ := b.List(t0)
+		n := l.Nodes[0]
+		if n.State != c.state || n.Weight != c.w || c.note != "" && n.Note != c.note || len(n.Note) > maxNote {
+			t.Errorf("%s: %+v", name, n)
+		}
+	}
+}
+
+// What the first list holds was here before; what comes later is new, and so is one whose registration, process or
+// address has changed. A check that fails and passes again makes nothing new.
+func TestWhatIsNew(t *testing.T) {
+	b := NewBook(Mapping{Started: "boot"}, false)
+	health(t, b, 0, entry("a"), entry("b", meta("boot", "x1")), entry("c", meta("boot", fmt.Sprint(t0.Unix()-3))))
+	want(t, b, 0, "n/a:ready n/b:ready n/c:ready^-3")
+	health(t, b, 10, entry("a", status("critical")), entry("b", meta("boot", "x1")), entry("c", meta("boot", fmt.Sprint(t0.Unix()-3))), entry("d"))
+	want(t, b, 10, "n/a:draining n/b:ready n/c:ready^-3 n/d:ready^10")
+	health(t, b, 20, entry("a"), entry("b", meta("boot", "x2")), entry("c", meta("boot", fmt.Sprint(t0.Unix()+19))), entry("d", create(6)))
+	want(t, b, 20, "n/a:ready n/b:ready^20 n/c:ready^20 n/d:ready^20")
+	health(t, b, 30, entry("a", addr("10.0.0.2:80")), entry("b", meta("boot", "x2")))
+	want(t, b, 30, "n/a:ready^30 n/b:ready^20")
+	// An answer that lacked one for a while, under its old registration: it was never gone. A new one is new.
+	health(t, b, 31, entry("a", addr("10.0.0.2:80")), entry("b", meta("boot", "x2")), entry("d", create(7)),
+		entry("c", meta("boot", fmt.Sprint(t0.Unix()+19))))
+	want(t, b, 31, "n/a:ready^30 n/b:ready^20 n/c:ready^20 n/d:ready^31")
+	// At an old one's address, under another id.
+	health(t, b, 32, entry("z", addr("10.0.0.2:80")))
+	want(t, b, 32, "n/z:ready^32")
+	health(t, b, 33, entry("z", addr("10.0.0.2:80")), entry("y", meta("boot", "2099-01-02T15:04:05Z"))) // a clock that is ahead
+	want(t, b, 33, "n/y:ready^33 n/z:ready^32")
+}
+
+// In a catalogue that lost its data every registration is new, and that makes no node cold; a process that is new does.
+func TestACatalogueThatBeganAnew(t *testing.T) {
+	b := NewBook(Mapping{Started: "boot"}, false)
+	health(t, b, 0, entry("a"), entry("b"), entry("c", meta("boot", "1")))
+	b.Health(t0.Add(10*time.Second), nil, true, true)
+	want(t, b, 10, "")
+	health(t, b, 20, entry("a", create(2)), entry("c", create(2), meta("boot", "2")))
+	want(t, b, 20, "n/a:ready n/c:ready^20")
+	health(t, b, 30, entry("a", create(3)), entry("b", create(3)), entry("c", create(2), meta("boot", "2"))) // a anew, once it was known again
+	want(t, b, 30, "n/a:ready^30 n/b:ready n/c:ready^20")
+}
+
+func TestTheCatalogueSaysWhatExists(t *testing.T) {
+	b := NewBook(Mapping{}, true)
+	health(t, b, 0, entry("a"), entry("b"))
+	want(t, b, 0, "nothing yet")
+	b.Catalogue([]string{"n/a", "n/b", "n/other"})
+	want(t, b, 1, "n/a:ready n/b:ready")
+	b.Catalogue([]string{"n/b"}) // deregistered; health tells later
+	want(t, b, 2, "n/b:ready")
+	health(t, b, 3, entry("b"), entry("c"))
+	want(t, b, 3, "n/b:ready") // c is not in the catalogue yet
+	b.Catalogue([]string{"n/b", "n/c"})
+	want(t, b, 4, "n/b:ready n/c:ready^3")
+	health(t, b, 5, entry("c")) // health lists b no longer, and it exists
+	want(t, b, 5, "n/b:draining n/c:ready^3")
+	if b.CatalogueFailed() {
+		t.Error("it was not waited for")
+	}
+	want(t, b, 6, "n/c:ready^3")
+	b = NewBook(Mapping{}, true)
+	health(t, b, 0, entry("a"))
+	if !b.CatalogueFailed() {
+		t.Error("it was waited for")
+	}
+	want(t, b, 0, "n/a:ready")
+}
+
+// An answer that is not whole may be older than what is known: only what is bad news counts.
+func TestAnAnswerInPart(t *testing.T) {
+	b := NewBook(Mapping{}, false)
+	if b.Health(t0, []Entry{entry("a", status("critical"))}, false, false); told(b, t0) != "nothing yet" {
+		t.Error("it tells of the first answer, which is not whole")
+	}
+	health(t, b, 0, entry("a"), entry("b", status("critical")), entry("c"))
+	b.Health(t0, []Entry{entry("a", status("critical")), entry("b"), entry("new")}, false, false)
+	want(t, b, 1, "n/a:draining n/b:draining n/c:ready")
+}
+
+func TestMapping(t *testing.T) {
+	b := NewBook(Mapping{Zone: "datacenter", Cell: "node:rack", Model: "model"}, false)
+	e := func(id, rack string) Entry {
+		return entry(id, meta("model", "m2"), func(e *Entry) { e.Datacenter, e.NodeMeta = "dc1", map[string]string{"rack": rack} })
+	}
+	health(t, b, 0, e("a", "12"), e("b", "north"), e("c", "north"), e("d", ""), e("e", ""), e("f", "-3"), e("g", "99999999999999999999"))
+	l, _ := b.List(t0)
+	cells := map[int]int{}
+	for _, n := range l.Nodes {
+		cells[n.Cell]++
+		if n.Zone != "dc1" || n.Kind != "m2" {
+			t.Errorf("%+v", n)
+		}
+	}
+	if l.Nodes[0].Cell != 12 || l.Nodes[1].Cell != l.Nodes[2].Cell || len(cells) != 6 {
+		t.Errorf("cells %v", cells) // those without one are alone
+	}
+}
+
+func TestBadEntries(t *testing.T) {
+	b := NewBook(Mapping{}, false)
+	health(t, b, 0, entry("a"))
+	bad := b.Health(t0, []Entry{entry("a", addr("nonsense")), entry("b", addr(":80")), entry("c", addr("h:0")), entry(""), entry("d")}, true, false)
+	if len(bad) != 4 {
+		t.Errorf("%v", bad)
+	}
+	want(t, b, 0, "n/a:ready n/d:ready^0") // one that was there stays as it was
+}
+
+// What is gone is forgotten in the end, and ever new names fill nothing.
+func TestTheBookIsBounded(t *testing.T) {
+	b := NewBook(Mapping{}, false)
+	for i := range 3000 {
+		now := t0.Add(time.Duration(i) * time.Second)
+		b.Health(now, []Entry{entry(fmt.Sprint("id", i))}, true, false)
+		b.List(now)
+	}
+	if len(b.nodes) > 302 || len(b.listed) != 1 {
+		t.Errorf("%d nodes, %d listed", len(b.nodes), len(b.listed))
+	}
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -114,8 +115,8 @@
 type member struct {
 	name   string
 	id     decision.BackendID
-	words  []*Node // each source's last word; nil: that one does not know it
-	told   Change  // what was emitted last
+	words  []word // the last word of each source that knows it, by precedence
+	told   Change // what was emitted last
 	state  State
 	since  time.Duration
 	source int  // whose word decided
@@ -127,6 +128,25 @@
 	at     time.Duration
 }
 
+// word is what a source says of a node. Most nodes are known to one source of many, so only these are kept.
+type word struct {
+	source int
+	node   *Node
+}
+
+// find gives the place of a source's word, or where it would be.
+func (m *member) find(source int) (int, bool) {
+	return slices.BinarySearchFunc(m.words, source, func(w word, s int) int { return cmp.Compare(w.source, s) })
+}
+
+// of is a source's word, or nil.
+func (m *member) of(source int) *Node {
+	if i, ok := m.find(source); ok {
+		return m.words[i].node
+	}
+	return nil
+}
+
 // Table merges what several sources report. It is pure: reports and times go in, changes come out. It is not safe
 // for concurrent use. The sources stand in order of precedence:
 //
@@ -158,7 +178,8 @@
 	Origin
 	failed bool
 	saved  bool            // it has told what was saved, and nothing since
-	known  int             // nodes that it has a word on
+	names  map[string]bool // of the nodes that it has a word on
+	words  uint64          // how often a word of it changed
 	lacked map[string]bool // what its last whole list lacked and is not believed to be gone yet
 	since  time.Duration   // of lacked
 	hold   time.Duration   // for how long it must be lacked
@@ -175,7 +196,7 @@
 func NewTable(rules Rules, sources ...Origin) *Table {
 	t := &Table{rules: rules.withDefaults(), members: map[string]*member{}, ghosts: map[string]ghost{}}
 	for _, o := range sources {
-		t.origins = append(t.origins, origin{Origin: o})
+		t.origins = append(t.origins, origin{Origin: o, names: map[string]bool{}})
 	}
 	return t
 }
@@ -213,8 +234,8 @@
 	}
 	if l.Whole {
 		var missing []string
-		for name, m := range t.members {
-			if m.words[s] != nil && !listed[name] && !o.lacked[name] {
+		for name := range o.names {
+			if !listed[name] && !o.lacked[name] {
 				missing = append(missing, name)
 			}
 		}
@@ -231,7 +252,7 @@
 		o.told++
 	}
 	empty := len(l.Nodes) == 0 || l.Anew
-	doubtful := !o.Plain && len(missing) >= t.rules.LossLeast && float64(len(missing)) > t.rules.LossShare*float64(o.known)
+	doubtful := !o.Plain && len(missing) >= t.rules.LossLeast && float64(len(missing)) > t.rules.LossShare*float64(len(o.names))
 	if !o.Plain && empty && len(missing) > 0 {
 		doubtful = true // few, but all, or in a list of other data
 	}
@@ -318,6 +339,27 @@
 	return at, ok
 }
 
+// Words gives the nodes that a source has a word on, by name, as it said last, and a number that is another whenever
+// they have changed.
+func (t *Table) Words(source string) (nodes []Node, version uint64) {
+	s := t.source(source)
+	if s < 0 {
+		return nil, 0
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.origins[s].names)) {
+		nodes = append(nodes, *t.members[name].of(s))
+	}
+	return nodes, t.origins[s].words
+}
+
+// Version is the number that Words gives.
+func (t *Table) Version(source string) uint64 {
+	if s := t.source(source); s >= 0 {
+		return t.origins[s].words
+	}
+	return 0
+}
+
 // Len is how many nodes are kept.
 func (t *Table) Len() int { return len(t.members) }
 
@@ -328,7 +370,7 @@
 func (t *Table) Views() []View {
 	var out []View
 	for _, m := range t.members {
-		w, o := m.words[m.first()], &t.origins[m.source]
+		w, o := m.words[0].node, &t.origins[m.source]
 		v := View{Node: *w, ID: m.id, Belief: m.state, Since: m.since, Times: m.times, Source: o.Name,
 			Old: o.failed || o.saved}
 		for s := range t.origins {
@@ -340,7 +382,7 @@
 		if v.Belief == Ready && m.told.Started > 0 && t.now-m.told.Started < t.rules.ColdFor {
 			v.Belief = Cold
 		}
-		v.Why = why(v, m.words[m.source])
+		v.Why = why(v, m.of(m.source))
 		out = append(out, v)
 	}
 	slices.SortFunc(out, func(a, b View) int { return cmp.Compare(a.Name, b.Name) })
@@ -406,7 +448,7 @@
 			return
 		}
 		t.lastID++
-		m = &member{name: n.Name, id: t.lastID, words: make([]*Node, len(t.origins)), since: t.now, wellAt: t.now}
+		m = &member{name: n.Name, id: t.lastID, since: t.now, wellAt: t.now}
 		t.members[n.Name] = m
 		if g, ok := t.ghosts[n.Name]; ok { // it was here before
 			m.times = g.times - int((t.now-g.at)/t.rules.Forget)
@@ -417,40 +459,38 @@
 			delete(t.ghosts, n.Name)
 		}
 	}
-	switch {
+	o := &t.origins[s]
+	switch i, knows := m.find(s); {
 	case n.State == decision.Gone:
-		if m.words[s] != nil {
-			t.origins[s].known--
+		if knows {
+			m.words = slices.Delete(m.words, i, i+1)
+			o.words++
 		}
-		m.words[s] = nil
-		delete(t.origins[s].lacked, n.Name)
-	case m.words[s] == nil:
-		t.origins[s].known++
-		m.words[s] = &n
+		delete(o.names, n.Name)
+		delete(o.lacked, n.Name)
+	case !knows:
+		m.words = slices.Insert(m.words, i, word{s, &n})
+		o.names[n.Name] = true
+		o.words++
 	default:
 		if n.Addr == "" {
-			n.Addr = m.words[s].Addr
+			n.Addr = m.words[i].node.Addr
+		}
+		if *m.words[i].node != n {
+			o.words++
+			m.words[i].node = &n
 		}
-		m.words[s] = &n
 	}
 	latest := time.Duration(0)
 	for _, w := range m.words {
-		if w != nil {
-			latest = max(latest, started(w.Started))
-		}
+		latest = max(latest, started(w.node.Started))
 	}
 	t.judge(m, latest)
 }
 
-// first is the first source that knows a member, or -1.
-func (m *member) first() int {
-	return slices.IndexFunc(m.words, func(w *Node) bool { return w != nil })
-}
-
 // judge says what a member is by now, and emits what that changes.
 func (t *Table) judge(m *member, started time.Duration) {
-	first := m.first()
-	if first < 0 {
+	if len(m.words) == 0 {
 		t.unwait(m)
 		delete(t.members, m.name)
 		if m.told.ID != 0 {
@@ -468,12 +508,12 @@
 		return
 	}
 	out := -1 // the first source that says that it must not be sent anything new
-	for s, w := range m.words {
-		if w != nil && w.State != decision.Ready && out < 0 {
-			out = s
+	for _, w := range m.words {
+		if w.node.State != decision.Ready && out < 0 {
+			out = w.source
 		}
 	}
-	state, source := Ready, first
+	state, source := Ready, m.words[0].source
 	switch {
 	case out >= 0:
 		state, source = Draining, out
@@ -505,7 +545,7 @@
 			t.wait(m, m.wellAt+t.rules.Forget)
 		}
 	}
-	t.emit(m, *m.words[first], started)
+	t.emit(m, *m.words[0].node, started)
 }
 
 // hold is how long a member must be well before it is taken back.
