Consul, discovery and a file side by side in the operator's file; pumicecroft members

Need: the operator chooses the sources and their precedence, and wants to see what a door believes and why.

A door that is registered turns critical, serves on for a notice, ends and deregisters.

--- a/consul/rig_test.go
+++ b/consul/rig_test.go
@@ -228,4 +228,3 @@
 		r.t.Errorf("effects that happened twice: %q", d)
 	}
 }
-
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,7 +16,6 @@
 
 	"pumicecroft"
 	"pumicecroft/internal/httpfront"
-	"pumicecroft/internal/operator"
 	"pumicecroft/internal/platform"
 )
 
@@ -41,17 +40,6 @@
 	return run(ctx, door, config.Name, config.Listen, config.Limits.ClientConns(), config.Settings.LongestDeadline())
 }
 
-// ServeFile is one front door of an installation without the platform: it serves by an operator's file until ctx
-// ends.
-func ServeFile(ctx context.Context, f operator.File) error {
-	door, err := pumicecroft.New(f.Door, pumicecroft.WithLogger(slog.Default()))
-	if err != nil {
-		return err
-	}
-	door.Update(f.Backends)
-	return run(ctx, door, "", f.Listen, f.ClientConns, f.Door.Settings.LongestDeadline())
-}
-
 // run serves a door on a socket until ctx ends and all that was taken has its answer.
 func run(ctx context.Context, door *pumicecroft.Door, name, listen string, conns int, longest time.Duration) error {
 	defer func() {
--- /dev/null
+++ b/internal/daemon/file.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/consul"
+	"pumicecroft/internal/operator"
+	"pumicecroft/internal/platform"
+	"pumicecroft/membership"
+)
+
+// fixed is a source whose list does not change.
+type fixed struct{ list membership.List }
+
+func (f fixed) Run(_ context.Context, update func(membership.List)) { update(f.list) }
+
+// sources are a file's, by precedence, with Consul's client if there is one.
+func sources(f operator.File) (options []pumicecroft.Option, client *consul.Client, err error) {
+	for _, name := range f.Sources {
+		switch name {
+		case operator.SourceConsul:
+			if client, err = consul.New(f.Consul.Config); err != nil {
+				return nil, nil, err
+			}
+			for _, s := range f.Consul.Services {
+				w := client.Service(s)
+				options = append(options, pumicecroft.WithOrigin(w.Origin(), w))
+			}
+		case operator.SourceDiscovery:
+			options = append(options, pumicecroft.WithOrigin(membership.Origin{Name: name, Plain: true},
+				platform.Discovery{Addr: f.Discovery, From: platform.FromTheStart}))
+		case operator.SourceFile:
+			options = append(options, pumicecroft.WithOrigin(membership.Origin{Name: name, Plain: true}, fixed{f.Backends}))
+		}
+	}
+	return options, client, nil
+}
+
+// ServeFile is one front door of an installation without the platform: it serves by an operator's file until ctx
+// ends.
+func ServeFile(ctx context.Context, f operator.File) error {
+	options, client, err := sources(f)
+	if err != nil {
+		return err
+	}
+	door, err := pumicecroft.New(f.Door, append(options, pumicecroft.WithLogger(slog.Default()))...)
+	if err != nil {
+		return err
+	}
+	if f.Members != "" {
+		stop, err := tellMembers(door, f.Members)
+		if err != nil {
+			door.Close(ctx)
+			return err
+		}
+		defer stop()
+	}
+	if f.Consul != nil && f.Consul.Register != nil {
+		serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+		defer stop()
+		defer register(client, *f.Consul.Register, ctx.Done())()
+		asked, notice := ctx.Done(), f.Consul.Notice
+		go func() { // a door that stands in the catalogue goes on until those who look there know that it drains
+			select {
+			case <-asked:
+				time.Sleep(notice)
+				stop()
+			case <-serving.Done():
+			}
+		}()
+		ctx = serving
+	}
+	return run(ctx, door, "", f.Listen, f.ClientConns, f.Door.Settings.LongestDeadline())
+}
+
+// register keeps a door in the catalogue until the function that it gives is called.
+func register(client *consul.Client, r consul.Registration, draining <-chan struct{}) (end func()) {
+	ctx, stop := context.WithCancel(context.Background())
+	r.Told = func(err error) {
+		if err != nil {
+			slog.Warn("consul: the door's registration", "err", err)
+		} else {
+			slog.Info("consul: the door is registered")
+		}
+	}
+	var ran sync.WaitGroup
+	ran.Go(func() {
+		if err := client.Register(ctx, r, draining); err != nil {
+			slog.Warn("consul: the door was not deregistered", "err", err)
+		}
+	})
+	return func() { stop(); ran.Wait() }
+}
+
+// tellMembers answers who asks what a door believes of its backends.
+func tellMembers(door *pumicecroft.Door, addr string) (stop func(), err error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /members", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(door.Members())
+	})
+	s := &http.Server{Handler: mux, ReadTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second, MaxHeaderBytes: 8 << 10}
+	go s.Serve(ln)
+	slog.Info("members", "listen", ln.Addr().String())
+	return func() { s.Close() }, nil
+}
+
+// AskMembers asks a running door at its address for members.
+func AskMembers(ctx context.Context, addr string) ([]pumicecroft.Member, error) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/members", nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("no door answers for members: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s answered %s", addr, res.Status)
+	}
+	var out []pumicecroft.Member
+	if err := json.NewDecoder(res.Body).Decode(&out); err != nil {
+		return nil, fmt.Errorf("%s answered what is no list of members: %w", addr, err)
+	}
+	return out, nil
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,7 +19,11 @@
 	Listen      string // host:port for clients
 	ClientConns int    // connections that clients may hold
 	Door        pumicecroft.Config
-	Backends    membership.List
+	Members     string          // host:port on loopback for who asks what the door believes of its backends; empty: nobody
+	Sources     []string        // of backends, by precedence: SourceConsul and so on
+	Backends    membership.List // of SourceFile
+	Discovery   string          // host:port of the platform's discovery
+	Consul      *Consul
 }
 
 const (
@@ -43,7 +47,7 @@
 	readDoor(top.table("door"), &f)
 	readClasses(d, top, &f.Door.Settings)
 	readPlans(d, top, &f.Door.Settings)
-	readBackends(d, top, &f)
+	readMembers(d, top, &f)
 	top.done()
 	if err := d.result(); err != nil {
 		return File{}, err
@@ -166,7 +170,4 @@
 		s.done()
 		f.Backends.Nodes = append(f.Backends.Nodes, n)
 	}
-	if len(f.Backends.Nodes) == 0 {
-		d.bad("", "backend", "there is none: [[backend]] with a name and an address")
-	}
 }
--- a/internal/operator/reader.go
+++ b/internal/operator/reader.go
@@ -214,6 +214,26 @@
 	return t
 }
 
+// texts gives a list of texts; nil: there is none.
+func (s *section) texts(key string) []string {
+	v, ok := s.get(key)
+	if !ok {
+		return nil
+	}
+	all, isList := v.([]any)
+	out := []string{}
+	for _, e := range all {
+		t, isText := e.(string)
+		isList = isList && isText && t != ""
+		out = append(out, t)
+	}
+	if !isList {
+		s.d.bad(s.path, key, "it is not a list of texts")
+		return nil
+	}
+	return out
+}
+
 // oneOf gives a text's place among the ones that there are.
 func (s *section) oneOf(key, usual string, names ...string) int {
 	v, ok := s.get(key)
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -60,7 +60,7 @@
 // Discovery follows the platform's discovery. It is a source of lists for the library.
 type Discovery struct {
 	Addr  string
-	From  int64         // the version of the list that is known
+	From  int64         // the version of the list that is known, or FromTheStart
 	Moves <-chan string // each address that comes takes the place of the one before; nil: none comes
 }
 
@@ -76,8 +76,8 @@
 	fetchTimeout = time.Second            // the agent answers at once, or is silent
 )
 
-// takeWhole, as a version to start from, asks for the whole list first.
-const takeWhole = -1
+// FromTheStart, as a version to start from, asks for the whole list first.
+const FromTheStart = -1
 
 // Follow follows discovery until ctx ends. It starts at addr from a version on; each address that comes from moves
 // takes the place of the one before. Another discovery may number its versions in another way, so after a move
@@ -92,7 +92,7 @@
 		}()
 		select {
 		case addr = <-moves:
-			from = takeWhole
+			from = FromTheStart
 		case <-ctx.Done():
 		}
 		stop()
@@ -110,7 +110,7 @@
 	sometimes := rate.Sometimes{First: 3, Interval: 5 * time.Second}
 	for ctx.Err() == nil {
 		var err error
-		if from == takeWhole {
+		if from == FromTheStart {
 			err = fetch(ctx, transport, addr, &from, update)
 		}
 		if err == nil {
@@ -192,7 +192,7 @@
 			return err
 		}
 		if !list.Whole && list.Seq < *from { // discovery has begun anew: what changed before is not known here
-			*from = takeWhole
+			*from = FromTheStart
 			return errGoneBack
 		}
 		slog.Info("discovery", "seq", list.Seq, "whole", list.Whole, "hosts", len(list.Hosts))
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -40,6 +40,9 @@
 // meta, and "datacenter" the datacenter. Empty: there is none.
 type Mapping struct {
 	Zone, Cell, Model string
+	// Name holds what the node is called, so that other sources can mean the same one. Without it, where it is empty and
+	// where another has it too, that is NODE/ID.
+	Name string
 	// Started holds when the process started (RFC 3339, or Unix time in seconds or milliseconds), or any text that is
 	// another with each process: a boot id, a process number.
 	Started string
@@ -63,6 +66,7 @@
 	node    membership.Node
 	create  uint64
 	process string
+	called  string // by the mapping
 	epoch   int
 	absent  time.Time // since when nobody lists it; zero: it is listed
 }
@@ -159,6 +163,7 @@
 		r.node.Started = now
 	}
 	r.create, r.process, r.epoch = e.Create, process, b.epoch
+	r.called = b.look(b.mapping.Name, e)
 	n := &r.node
 	n.Name, n.Addr, n.Zone, n.Kind = name, e.Addr, b.look(b.mapping.Zone, e), b.look(b.mapping.Model, e)
 	n.Cell = cellOf(b.look(b.mapping.Cell, e), name)
@@ -267,6 +272,7 @@
 	// weighs lists that lose most of their nodes.
 	failing := lost > 0 && (len(b.listed) == 0 || lost >= 3 && 2*lost > present)
 	absent := 0
+	names := map[string]bool{}
 	for _, name := range slices.Sorted(maps.Keys(b.nodes)) {
 		r := b.nodes[name]
 		n := r.node
@@ -286,6 +292,10 @@
 		if !b.listed[name] {
 			n.State, n.Note = decision.Draining, "the catalogue lists it, and health does not"
 		}
+		if r.called != "" && !names[r.called] {
+			n.Name = r.called
+		}
+		names[n.Name] = true
 		l.Nodes = append(l.Nodes, n)
 	}
 	return l, true
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -208,6 +208,15 @@
 	}
 }
 
+func TestNames(t *testing.T) {
+	b := NewBook(Mapping{Name: "node:host"}, false)
+	called := func(id, host string) Entry {
+		return entry(id, func(e *Entry) { e.NodeMeta = map[string]string{"host": host} })
+	}
+	health(t, b, 0, called("a", "s-1"), called("b", ""), called("c", "s-1"))
+	want(t, b, 0, "s-1:ready n/b:ready n/c:ready")
+}
+
 func TestBadEntries(t *testing.T) {
 	b := NewBook(Mapping{}, false)
 	health(t, b, 0, entry("a"))
