The rule suite with Consul as the source, on the daemon by its file and on the library

Change: two more fronts of the suite: a stand-in Consul agent mirrors the case's stand-in discovery, and the front hears of its backends from it alone. The daemon is run by an operator's file, which a test compares with the platform's configuration setting by setting.

--- /dev/null
+++ b/conformance/consul_test.go
@@ -0,0 +1,171 @@
+package conformance
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/consul"
+	"pumicecroft/internal/daemon"
+	"pumicecroft/internal/platform"
+	"pumicecroft/internal/standin"
+)
+
+const consulService = "nodes"
+
+// mirror keeps a stand-in Consul agent as the stand-in discovery is: what is ready there passes here, what terminates
+// is critical, what is gone is deregistered. It returns when the agent holds what discovery holds now.
+func mirror(t testing.TB, addr string) *standin.Consul {
+	t.Helper()
+	agent, err := standin.StartConsul(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	first, ended := make(chan bool), make(chan bool)
+	go func() {
+		defer close(ended)
+		told := false
+		platform.Follow(ctx, addr, platform.FromTheStart, nil, func(l platform.EndpointList) {
+			for _, e := range l.Hosts {
+				if e.Health == "Gone" {
+					agent.Remove("rack", e.Host)
+					continue
+				}
+				host, port, _ := net.SplitHostPort(e.Dial)
+				n, _ := strconv.Atoi(port)
+				status := map[string]string{"Ready": "passing", "Terminating": "critical"}[e.Health]
+				meta := map[string]string{"cell": strconv.Itoa(e.Block), "zone": e.Site, "model": e.Class}
+				if e.BornMS != 0 {
+					meta["started"] = strconv.FormatInt(e.BornMS, 10)
+				}
+				agent.Put(standin.Instance{Node: "rack", NodeAddr: host, ID: e.Host, Service: consulService, Port: n, Meta: meta,
+					Passing: int(e.Share), Checks: []standin.Check{{ID: "process", Status: status}}})
+			}
+			if !told {
+				told = true
+				close(first)
+			}
+		})
+	}()
+	t.Cleanup(func() { stop(); <-ended; agent.Close() })
+	select {
+	case <-first:
+	case <-time.After(patience):
+		t.Fatal("discovery told nothing")
+	}
+	return agent
+}
+
+// knows waits until a door knows all that the agent holds.
+func knows(t testing.TB, agent *standin.Consul, ask func() ([]pumicecroft.Member, error)) {
+	t.Helper()
+	want := slices.Sorted(maps.Keys(agent.Instances(consulService)))
+	for end := time.Now().Add(patience); ; time.Sleep(2 * time.Millisecond) {
+		ms, err := ask()
+		var got []string
+		for _, m := range ms {
+			got = append(got, m.Name)
+		}
+		if slices.Equal(got, want) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the door knows %q, %v; want %q", got, err, want)
+		}
+	}
+}
+
+var mapping = consul.Mapping{Cell: "cell", Zone: "zone", Model: "model", Started: "started"}
+
+// libraryWithConsul is the library's handler with Consul as its source.
+func libraryWithConsul(t testing.TB, config string) Front {
+	t.Helper()
+	c, err := platform.ParseConfig([]byte(config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	agent := mirror(t, c.Discovery)
+	client, err := consul.New(consul.Config{Address: agent.Addr()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := client.Service(consul.Service{Name: consulService, Mapping: mapping})
+	dc := daemon.DoorConfig(c)
+	dc.Known.Nodes = nil
+	door, err := pumicecroft.New(dc, pumicecroft.WithOrigin(w.Origin(), w))
+	if err != nil {
+		t.Fatal(err)
+	}
+	knows(t, agent, func() ([]pumicecroft.Member, error) { return door.Members(), nil })
+	return host(t, door, door)
+}
+
+// daemonWithConsul is the daemon by an operator's file, with Consul as its source.
+func daemonWithConsul(t testing.TB, config string) Front {
+	t.Helper()
+	c, err := platform.ParseConfig([]byte(config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	agent := mirror(t, c.Discovery)
+	path := filepath.Join(t.TempDir(), "pumicecroft.toml")
+	if err := os.WriteFile(path, []byte(operatorFile(c, agent.Addr())), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := startAs(t, "PUMICECROFT_BY_FILE="+path)
+	knows(t, agent, func() ([]pumicecroft.Member, error) { return daemon.AskMembers(t.Context(), p.members) })
+	return p
+}
+
+// operatorFile says in an operator's file what the platform's configuration says, with Consul as the source.
+func operatorFile(c platform.Config, agent string) string {
+	var b strings.Builder
+	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	s := c.Settings
+	line("listen = \"127.0.0.1:0\"\nmembers = \"127.0.0.1:0\"\n[door]")
+	line("number = %d\nof = %d\nmax_attempts = %d\ncancel = %v", s.Me, s.FrontDoors, s.MaxAttempts, s.CanCancel)
+	line("max_retry_after = %q\nmeter_period = %q\nlargest_units = %v\nzone = %q", s.MaxRetryAfter, s.MeterPeriod, s.LargestUnits, s.Zone)
+	line("cold_from = %v\nwarm_within = %q\nfall_multiple = %v\nfall_for = %q", s.ColdFrom, s.WarmWithin, s.FallMultiple, s.FallFor)
+	line("answer_grace = %q\ndrain_grace = %q", s.AnswerGrace, s.DrainGrace)
+	line("client_connections = %d\nbackend_connections = %d", c.Limits.ClientConns(), c.Limits.BackendConns())
+	line("connect_timeout = %q\nidle_timeout = %q", c.Conns.Connect, c.Conns.Idle)
+	for _, k := range s.Classes {
+		line("[[class]]\nname = %q\neffect = %q\ngroup = %q", k.Name, []string{"safe", "keyed", "unsafe"}[k.Effect], []string{"all", "zone", "cell"}[k.Group])
+		line("key_window = %q\ndeadline = %q\naim = %q\nworth = %v\nlate_worth = %v", k.KeyWindow, k.Deadline, k.Aim, k.Worth, k.LateWorth)
+	}
+	for _, p := range s.Plans {
+		line("[[plan]]\nname = %q\nrate = %v\nburst = %v\nopen = %d\nprice = %v", p.Name, p.Rate, p.Burst, p.Open, p.Price)
+		line("ceiling_rate = %v\nceiling_burst = %v\nceiling_slack = %v", p.CeilingRate, p.CeilingBurst, p.CeilingSlack)
+	}
+	line("[consul]\naddress = %q\n[[consul.service]]\nname = %q", agent, consulService)
+	line("cell = %q\nzone = %q\nmodel = %q\nstarted = %q", mapping.Cell, mapping.Zone, mapping.Model, mapping.Started)
+	return b.String()
+}
+
+// What the file says must be what the configuration says.
+func TestTheOperatorFileSaysTheSame(t *testing.T) {
+	r := newRig(t)
+	c, err := platform.ParseConfig([]byte(r.config(figures{doors: 3, me: 1, meter: true})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := parseFile(operatorFile(c, "127.0.0.1:8500"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, want := f.Door.Settings, c.Settings
+	want.LoadColumns, want.AskForList = nil, false // there is no key for them
+	if a, b := fmt.Sprintf("%+v", got), fmt.Sprintf("%+v", want); a != b {
+		t.Errorf("the file says\n%s\nthe configuration\n%s", a, b)
+	}
+}
--- a/conformance/fronts_test.go
+++ b/conformance/fronts_test.go
@@ -26,6 +26,7 @@
 
 	"pumicecroft"
 	"pumicecroft/internal/daemon"
+	"pumicecroft/internal/operator"
 	"pumicecroft/internal/platform"
 	pumicegin "pumicecroft/middleware/gin"
 	"pumicecroft/middleware/nethttp"
@@ -33,10 +34,11 @@
 
 // TestMain lets the test's own binary stand in for the daemon, as a process of its own.
 func TestMain(m *testing.M) {
-	if path := os.Getenv("PUMICECROFT_AS_DAEMON"); path != "" {
+	path, file := os.Getenv("PUMICECROFT_AS_DAEMON"), os.Getenv("PUMICECROFT_BY_FILE")
+	if path != "" || file != "" {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 		defer stop()
-		if err := daemon.Serve(ctx, path, nil); err != nil {
+		if err := serve(ctx, path, file); err != nil {
 			slog.Error("the daemon ended", "err", err)
 			os.Exit(1)
 		}
@@ -50,15 +52,34 @@
 	os.Exit(m.Run())
 }
 
+// serve is the daemon, by the platform's configuration or an operator's file.
+func serve(ctx context.Context, path, file string) error {
+	if path != "" {
+		return daemon.Serve(ctx, path, nil)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	f, err := parseFile(string(text))
+	if err != nil {
+		return err
+	}
+	return daemon.ServeFile(ctx, f)
+}
+
+func parseFile(text string) (operator.File, error) { return operator.Parse([]byte(text)) }
+
 // process is the daemon.
 type process struct {
-	cmd  *exec.Cmd
-	addr string
-	once sync.Once
-	err  error
+	cmd     *exec.Cmd
+	addr    string
+	members string // where it tells of its members
+	once    sync.Once
+	err     error
 }
 
-var listens = regexp.MustCompile(`msg=serving .*listen=(\S+)|INFO serving .*listen=(\S+)`)
+var listens = regexp.MustCompile(`(serving|members) .*listen=(\S+)`)
 
 func startProcess(t testing.TB, config string) Front {
 	t.Helper()
@@ -66,8 +87,14 @@
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	return startAs(t, "PUMICECROFT_AS_DAEMON="+path)
+}
+
+// startAs starts this binary as the daemon that a variable names.
+func startAs(t testing.TB, variable string) *process {
+	t.Helper()
 	p := &process{cmd: exec.Command(os.Args[0])}
-	p.cmd.Env = append(os.Environ(), "PUMICECROFT_AS_DAEMON="+path)
+	p.cmd.Env = append(os.Environ(), variable)
 	log, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -83,9 +110,11 @@
 	lines := bufio.NewScanner(log)
 	for lines.Scan() {
 		said.WriteString(lines.Text() + "\n")
-		if m := listens.FindStringSubmatch(lines.Text()); m != nil {
-			p.addr = m[1] + m[2]
+		if m := listens.FindStringSubmatch(lines.Text()); m != nil && m[1] == "serving" {
+			p.addr = m[2]
 			break
+		} else if m != nil {
+			p.members = m[2]
 		}
 	}
 	if p.addr == "" {
@@ -127,15 +156,21 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		h := &hosted{door: door, server: &http.Server{Handler: handler(door)}, addr: ln.Addr().String()}
-		go h.server.Serve(ln)
-		t.Cleanup(func() { h.Stop() })
-		return h
+		return host(t, door, handler(door))
+	}
+}
+
+// host serves a door behind a handler.
+func host(t testing.TB, door *pumicecroft.Door, handler http.Handler) *hosted {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
+	h := &hosted{door: door, server: &http.Server{Handler: handler}, addr: ln.Addr().String()}
+	go h.server.Serve(ln)
+	t.Cleanup(func() { h.Stop() })
+	return h
 }
 
 func (h *hosted) Addr() string { return h.addr }
@@ -153,8 +188,10 @@
 
 // fronts are all that the suite runs against.
 var fronts = map[string]Starter{
-	"daemon":  startProcess,
-	"library": inHost(func(d *pumicecroft.Door) http.Handler { return d }),
+	"daemon":              startProcess,
+	"daemon with Consul":  daemonWithConsul,
+	"library with Consul": libraryWithConsul,
+	"library":             inHost(func(d *pumicecroft.Door) http.Handler { return d }),
 	"nethttp under chi": inHost(func(d *pumicecroft.Door) http.Handler {
 		r := chi.NewRouter()
 		r.Use(chimiddleware.RequestID, chimiddleware.Recoverer, chimiddleware.Timeout(time.Minute), nethttp.New(d))
