--- a/cmd/pumicecroft/commands_test.go
+++ b/cmd/pumicecroft/commands_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"pumicecroft/internal/platform"
 	"pumicecroft/internal/standin"
 )
 
@@ -189,3 +190,34 @@
 		t.Errorf("after its end the door stands there: %v", left)
 	}
 }
+
+// A file's own backends and the platform's discovery, side by side.
+func TestServeWithDiscovery(t *testing.T) {
+	discovery, err := standin.StartDiscovery()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(discovery.Close)
+	discovery.Set(platform.Endpoint{Host: "a", Dial: "127.0.0.1:7", Site: "z", Health: "Terminating", Share: 1},
+		platform.Endpoint{Host: "d", Dial: "127.0.0.1:8", Health: "Ready", Share: 1})
+	text := operatorFile + fmt.Sprintf("[discovery]\naddress = %q\n", discovery.Addr())
+	cmd, _, at := serving(t, file(t, "members = \"127.0.0.1:0\"\nsources = [\"file\", \"discovery\"]\n"+text))
+	asked := file(t, fmt.Sprintf("members = %q\n", at)+text)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		var out bytes.Buffer
+		if err := run(t.Context(), []string{"members", asked}, &out); err != nil {
+			t.Fatal(err)
+		}
+		// The file's address, discovery's word that it drains, and a node that discovery alone knows.
+		if regexp.MustCompile(`\na +127.0.0.1:1 +draining +20.* discovery +discovery says that it takes nothing new\nd +127.0.0.1:8 +ready +20.* discovery +`).MatchString(out.String()) {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("it believes\n%s", out.String())
+		}
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
--- a/consul/agent_test.go
+++ b/consul/agent_test.go
@@ -1,6 +1,7 @@
 package consul
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -10,8 +11,10 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"errors"
+	"io"
 	"math/big"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -360,3 +363,35 @@
 		t.Errorf("a bad address: %v", err)
 	}
 }
+
+// An answer that never ends is cut, and is no answer.
+func TestAnAnswerThatIsTooLong(t *testing.T) {
+	t.Parallel()
+	addr := hosttest.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Consul-Index", "7")
+		w.Header().Set("X-Consul-KnownLeader", "true")
+		w.Header().Set("X-Consul-LastContact", "0")
+		blanks := bytes.Repeat([]byte(" "), 1<<20)
+		for range maxAnswer>>20 + 1 {
+			if _, err := w.Write(blanks); err != nil {
+				return
+			}
+		}
+		io.WriteString(w, "[]")
+	}), nil)
+	c, err := New(Config{Address: addr, RetryMost: 10 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended, lists := make(chan bool), make(chan membership.List, 100)
+	go func() {
+		defer close(ended)
+		c.Service(Service{Name: "web", HealthOnly: true}).Run(ctx, func(l membership.List) { lists <- l })
+	}()
+	if l := <-lists; l.Failed == nil {
+		t.Errorf("%+v", l)
+	}
+	cancel()
+	<-ended
+}
--- /dev/null
+++ b/consul/example_test.go
@@ -0,0 +1,32 @@
+package consul_test
+
+import (
+	"log"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/consul"
+	"pumicecroft/decision"
+)
+
+// A Door whose backends are the instances of a service. The order of the options is the precedence of the sources.
+func Example() {
+	client, err := consul.New(consul.Config{Address: "127.0.0.1:8500", Consistency: consul.Stale})
+	if err != nil {
+		log.Fatal(err)
+	}
+	nodes := client.Service(consul.Service{Name: "identity", Mapping: consul.Mapping{Cell: "rack", Started: "boot_id"}})
+	door, err := pumicecroft.New(pumicecroft.Config{
+		Settings: decision.Settings{
+			Classes: []decision.Class{{Name: "lookup", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+			Plans:   []decision.Plan{{Name: "shop", Price: 1}},
+		},
+		StateDir: "/var/lib/tool", // so that a restart without Consul has a list to begin with
+	}, pumicecroft.WithOrigin(nodes.Origin(), nodes))
+	if err != nil {
+		log.Fatal(err)
+	}
+	for _, m := range door.Members() {
+		log.Println(m.Name, m.State, m.Why)
+	}
+}
--- a/consul/register.go
+++ b/consul/register.go
@@ -51,7 +51,7 @@
 	r.ID = cmp.Or(r.ID, r.Name)
 	check := "service:" + r.ID
 	status, output := api.HealthPassing, "serving"
-	there := false
+	there, tried := false, false // a registration that was cut off may be there all the same
 	step := func(ctx context.Context) error {
 		o, err := c.options(ctx)
 		if err != nil {
@@ -64,6 +64,7 @@
 			}
 			there = false // the agent began anew
 		}
+		tried = true
 		err = c.api.Agent().ServiceRegisterOpts(&api.AgentServiceRegistration{ID: r.ID, Name: r.Name, Address: host, Port: number,
 			Tags: r.Tags, Meta: r.Meta, Check: &api.AgentServiceCheck{CheckID: check, TTL: r.TTL.String(), Status: status, Notes: output,
 				DeregisterCriticalServiceAfter: r.Forget.String()}},
@@ -81,7 +82,7 @@
 			draining = nil
 			status, output = api.HealthCritical, "draining"
 		case <-ctx.Done():
-			if !there {
+			if !tried {
 				return nil
 			}
 			ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), endPatience)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -72,6 +73,11 @@
 	if _, err := Parse(text); err != nil {
 		t.Error(err)
 	}
+	on := regexp.MustCompile(`(?m)^#([^ ])`).ReplaceAllString(string(text), "$1") // what is off in it is good too
+	f, err := Parse([]byte(on))
+	if err != nil || f.Consul == nil || f.Consul.Register == nil || f.Discovery == "" || len(f.Sources) != 3 {
+		t.Errorf("%v %+v", err, f)
+	}
 }
 
 // Each problem names its line and key.
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -31,6 +31,7 @@
 type Ledger struct {
 	mu       sync.Mutex
 	attempts []*Attempt
+	reached  map[string]Reached
 	effects  map[string]int // by key, or by id where there is none
 	heard    chan struct{}  // closed at the next change
 }
@@ -39,9 +40,26 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.attempts = append(l.attempts, a)
+	if l.reached == nil {
+		l.reached = map[string]Reached{}
+	}
+	l.reached[a.Backend] = Reached{l.reached[a.Backend].Count + 1, a.At}
 	l.changed()
 }
 
+// Reached is what has come to one backend.
+type Reached struct {
+	Count int
+	Last  time.Time
+}
+
+// Reached tells what has come to a backend so far. It costs the same however much that is.
+func (l *Ledger) Reached(backend string) Reached {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reached[backend]
+}
+
 func (l *Ledger) changed() {
 	if l.heard != nil {
 		close(l.heard)
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -534,3 +535,68 @@
 	r.tb.Report(3*sec, "s", List{Failed: errors.New("cut")}, starts)
 	r.view("a", "ready since 0s by s, old")
 }
+
+// BenchmarkServices is a table of twenty services of one catalogue, each a source: what one change costs, alone and as
+// the whole list of its service, in which form a catalogue tells it; and what a node takes in memory.
+func BenchmarkServices(b *testing.B) {
+	const services = 20
+	for _, n := range []int{100, 1000, 10_000} {
+		var names []string
+		lists := make([]List, services)
+		for s := range services {
+			names = append(names, fmt.Sprint("consul:service-", s))
+			lists[s].Whole = true
+		}
+		for i := range n {
+			l := &lists[i%services]
+			l.Nodes = append(l.Nodes, Node{Name: fmt.Sprint("node-", i, "/instance"), Addr: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: "z", Cell: i % 50, Weight: 1})
+		}
+		fill := func() *Table {
+			tb := NewTable(Rules{}, origins(names...)...)
+			for s := range lists {
+				tb.Report(0, names[s], lists[s], starts)
+			}
+			return tb
+		}
+		turn := func(i int) (int, Node) {
+			s := i % services
+			node := lists[s].Nodes[i/services%len(lists[s].Nodes)]
+			node.Weight = float64(2 + i%2)
+			return s, node
+		}
+		b.Run(fmt.Sprintf("change/%d", n), func(b *testing.B) {
+			tb := fill()
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				s, node := turn(i)
+				tb.Report(time.Duration(i), names[s], List{Nodes: []Node{node}}, starts)
+			}
+		})
+		b.Run(fmt.Sprintf("service/%d", n), func(b *testing.B) {
+			tb := fill()
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				s, node := turn(i)
+				l := List{Whole: true, Nodes: slices.Clone(lists[s].Nodes)}
+				l.Nodes[i/services%len(l.Nodes)] = node
+				tb.Report(time.Duration(i), names[s], l, starts)
+			}
+		})
+		b.Run(fmt.Sprintf("all/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			tb := fill()
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				fill()
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/node")
+			if tb.Len() != n {
+				b.Fatal(tb.Len())
+			}
+		})
+	}
+}
