Attempts over gRPC, each once, with proofs from HTTP/2's frames; a stand-in backend on frames

Change: internal/grpcback makes unary attempts on golang.org/x/net/http2's Framer: bounded connections and streams, grpc-timeout from what is left, windows, GOAWAY, cancels, floods. internal/standin has a gRPC backend that fails in each way of the table, first tested by grpc's own client. No front uses it yet. A source's name must be plain or not, and not be empty: ErrConfig.

Result: 17 acts of a backend give the table's results and reach it once each; GOAWAY with 100 streams open: 50 refused as never run, 50 answered. A burst at a cold start was not sent but for the attempts that dialled; now they wait for the connection.

--- a/config.go
+++ b/config.go
@@ -98,7 +98,7 @@
 
 // WithOrigin lets a source of a name of its own supply backends. Sources of several names are merged as
 // membership.Table does it, and the order of these options is their precedence; Update and WithSource come last
-// where WithSource does not say otherwise. A name must not be used with two meanings of Plain.
+// where WithSource does not say otherwise. Two sources of one name are one source; both are plain, or neither.
 func WithOrigin(o membership.Origin, s Source) Option {
 	return func(d *Door) { d.sources = append(d.sources, origin{o, s}) }
 }
--- a/door.go
+++ b/door.go
@@ -147,6 +147,10 @@
 	for _, p := range set.Plans {
 		d.plans[p.Name] = true
 	}
+	origins, err := d.origins()
+	if err != nil {
+		return nil, err
+	}
 	clock := drive.NewClock()
 	if decider == nil {
 		if decider, err = decision.New(set, config.Seed, clock.Now()); err != nil {
@@ -164,15 +168,6 @@
 			return nil, err
 		}
 	}
-	var origins []membership.Origin
-	for _, o := range d.sources {
-		if !slices.Contains(origins, o.Origin) {
-			origins = append(origins, o.Origin)
-		}
-	}
-	if !slices.ContainsFunc(origins, func(o membership.Origin) bool { return o.Name == own }) {
-		origins = append(origins, membership.Origin{Name: own, Plain: true})
-	}
 	d.members = membership.NewTable(config.Membership, origins...)
 	known := config.Known
 	known.Whole, known.Saved = true, true
@@ -197,6 +192,21 @@
 	return d, nil
 }
 
+// origins are the names of the sources, by precedence.
+func (d *Door) origins() ([]membership.Origin, error) {
+	var out []membership.Origin
+	for _, o := range append(d.sources, origin{Origin: membership.Origin{Name: own, Plain: true}}) {
+		i := slices.IndexFunc(out, func(k membership.Origin) bool { return k.Name == o.Name })
+		switch {
+		case o.Name == "" || i >= 0 && out[i] != o.Origin:
+			return nil, fmt.Errorf("%w: a source called %q: it needs a name, and is plain or not", ErrConfig, o.Name)
+		case i < 0:
+			out = append(out, o.Origin)
+		}
+	}
+	return out, nil
+}
+
 // Update takes in news of the backends. What it says holds for every attempt that begins after it returns.
 // Entries that make no sense are passed over.
 func (d *Door) Update(list membership.List) { d.report(own, list) }
--- a/door_test.go
+++ b/door_test.go
@@ -306,3 +306,20 @@
 		}
 	}
 }
+
+type silent struct{}
+
+func (silent) Run(context.Context, func(membership.List)) {}
+
+// A source without a name, or of a name that is plain here and not there, is an error of the configuration.
+func TestBadOrigins(t *testing.T) {
+	for _, os := range [][]membership.Origin{{{}}, {{Name: "x"}, {Name: "x", Plain: true}}, {{Name: "own"}}} {
+		var options []pumicecroft.Option
+		for _, o := range os {
+			options = append(options, pumicecroft.WithOrigin(o, silent{}))
+		}
+		if _, err := pumicecroft.New(hosttest.Config(), options...); !errors.Is(err, pumicecroft.ErrConfig) {
+			t.Errorf("%+v: %v", os, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/grpcback/backends.go
@@ -0,0 +1,315 @@
+// Package grpcback makes attempts at backends over gRPC: each once and never again by itself, over a bounded number of
+// HTTP/2 connections and streams, with an outcome that claims no more than what was seen proves (internal/grpcwire has
+// the table). It is written on HTTP/2's frames, as what ends a stream must be told apart: gRPC's own client and
+// net/http's send a request again by themselves when a stream was refused, and tell neither. It decides nothing.
+// backends.go keeps who the backends are and picks connections, conn.go is one connection.
+package grpcback
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/core"
+	"pumicecroft/internal/drive"
+	"pumicecroft/internal/grpcwire"
+	"pumicecroft/membership"
+)
+
+// Config says how backends are reached. What is 0 takes the default.
+type Config struct {
+	Conns      int           // to one backend; 2. Up to as many again may be ending
+	Streams    int           // on one connection; 100
+	Connect    time.Duration // a connection that is not up by then counts as failed; 250 ms
+	Idle       time.Duration // one that was idle for longer is not used; 15 s
+	MaxMessage int           // of an answer, in bytes; 4 MiB
+	Log        *slog.Logger
+	Dial       func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the system's
+}
+
+// Request is a client's call as it goes on to a backend, with each attempt.
+type Request struct {
+	Method   string  // such as /package.Service/Method
+	Metadata []Field // that goes on with it, without the fields that gRPC itself uses
+	Body     []byte  // one message with its prefix
+}
+
+// Answer is a backend's answer.
+type Answer struct {
+	Code            grpcwire.Code
+	Message         string // grpc-message as it came
+	Header, Trailer []Field
+	Body            []byte // messages with their prefixes
+	whole           bool   // the backend has ended the stream
+}
+
+// Backends makes attempts at the backends that it was told of. It is a drive.Carrier and safe for concurrent use.
+type Backends struct {
+	config   Config
+	faultLog rate.Sometimes
+
+	mu   sync.Mutex
+	byID map[decision.BackendID]*backend
+	ran  sync.WaitGroup // readers
+}
+
+var _ drive.Carrier = (*Backends)(nil)
+
+// backend is one that is known. Its fields are guarded by Backends.mu.
+type backend struct {
+	addr    string
+	state   decision.BackendState
+	conns   []*conn
+	dialing []*dial
+	gone    bool // what is dialled for it is closed
+}
+
+// dial is a connection that is coming up.
+type dial struct {
+	waiting int           // attempts, the one that dials among them; guarded by Backends.mu
+	done    chan struct{} // closed at its end
+	failed  bool          // guarded by done
+}
+
+// New knows no backends yet.
+func New(c Config) *Backends {
+	if c.Conns <= 0 {
+		c.Conns = 2
+	}
+	if c.Streams <= 0 {
+		c.Streams = 100
+	}
+	if c.Connect <= 0 {
+		c.Connect = 250 * time.Millisecond
+	}
+	if c.Idle <= 0 {
+		c.Idle = 15 * time.Second
+	}
+	if c.MaxMessage <= 0 {
+		c.MaxMessage = 4 << 20
+	}
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	return &Backends{config: c, faultLog: rate.Sometimes{First: 10, Interval: time.Second}, byID: map[decision.BackendID]*backend{}}
+}
+
+// Apply takes in what has changed about backends. It holds for every attempt that begins after it returns.
+func (b *Backends) Apply(changes []membership.Change) {
+	var drop []*conn
+	b.mu.Lock()
+	for _, c := range changes {
+		be := b.byID[c.ID]
+		if be != nil && (c.State == decision.Gone || c.Moved) {
+			drop = append(drop, be.conns...)
+			be.gone, be.conns = true, nil
+			delete(b.byID, c.ID)
+			be = nil
+		}
+		if c.State == decision.Gone {
+			continue
+		}
+		if be == nil {
+			be = &backend{addr: c.Addr}
+			b.byID[c.ID] = be
+		}
+		be.state = c.State
+	}
+	b.mu.Unlock()
+	for _, c := range drop {
+		c.leave()
+	}
+}
+
+// Close ends all connections and waits until nothing of them runs.
+func (b *Backends) Close() {
+	b.mu.Lock()
+	var drop []*conn
+	for _, be := range b.byID {
+		drop = append(drop, be.conns...)
+		be.gone, be.conns = true, nil
+	}
+	clear(b.byID)
+	b.mu.Unlock()
+	for _, c := range drop {
+		c.fail(net.ErrClosed)
+	}
+	b.ran.Wait()
+}
+
+// Probe tells nothing: there are no load reports over gRPC.
+func (b *Backends) Probe(id decision.BackendID, _ time.Duration) decision.ProbeResult {
+	return decision.ProbeResult{Backend: id, Result: decision.NotSent}
+}
+
+// Carry makes an attempt at a unary call.
+func (b *Backends) Carry(a *drive.Attempt) drive.Reply {
+	req := a.Load.(*Request)
+	s := &stream{done: make(chan struct{})}
+	s.call.Limit = b.config.MaxMessage
+	ctx, cancel := context.WithDeadline(context.Background(), a.Due)
+	defer cancel()
+	if a.Wait(cancel) != nil {
+		return reply(decision.NotSent)
+	}
+	c, result := b.conn(ctx, a.Backend)
+	if c == nil {
+		return reply(result)
+	}
+	if err := c.open(s, req.fields(time.Until(a.Due))); err != nil && s.conn == nil {
+		return reply(decision.NotSent) // it has ended, or is leaving, since it was picked
+	}
+	end := context.AfterFunc(ctx, func() {
+		how := (*grpcwire.Call).TimedOut
+		if a.Off() == drive.ErrCalledOff {
+			how = (*grpcwire.Call).CalledOff
+		}
+		c.giveUp(s, how)
+	})
+	defer end()
+	c.send(s, req.Body)
+	<-s.done
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o, _ := s.call.Ended()
+	r := reply(o.Result)
+	if o.Result == decision.Answered {
+		s.answer.Code, s.answer.Body = o.Code, s.body
+		r.Body = &s.answer
+	} else {
+		b.faultLog.Do(func() {
+			b.config.Log.Debug("an attempt over gRPC", "method", req.Method, "why", o.Why, "proof", o.Proof)
+		})
+	}
+	return r
+}
+
+func reply(r decision.Result) drive.Reply { return drive.Reply{Outcome: core.Outcome{Result: r}} }
+
+// fields are a request's head.
+func (r *Request) fields(left time.Duration) []Field {
+	return append([]Field{{":method", "POST"}, {":scheme", "http"}, {":path", r.Method}, {":authority", "backend"}, {"te", "trailers"},
+		{"content-type", "application/grpc"}, {"grpc-timeout", grpcwire.FormatTimeout(left)}}, r.Metadata...)
+}
+
+// conn gives a connection with a stream that is reserved, or the result of an attempt that gets none. While one is coming
+// up, as many attempts as it has streams wait for it.
+func (b *Backends) conn(ctx context.Context, id decision.BackendID) (*conn, decision.Result) {
+	for {
+		be, c, d, mine := b.pick(id)
+		switch {
+		case c != nil:
+			return c, 0
+		case d == nil: // all streams are taken, or it drains: the decision module may choose another backend
+			return nil, decision.NotSent
+		case mine:
+			go b.dial(be, d)
+		}
+		select {
+		case <-d.done:
+			if d.failed {
+				return nil, decision.NoConnection
+			}
+		case <-ctx.Done():
+			return nil, decision.NotSent
+		}
+	}
+}
+
+// pick finds a stream that is free, or a connection that is coming up and will have one; mine: it has to be dialled.
+func (b *Backends) pick(id decision.BackendID) (be *backend, c *conn, d *dial, mine bool) {
+	now := time.Now()
+	var drop []*conn
+	defer func() {
+		for _, c := range drop {
+			c.leave()
+		}
+	}()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	be = b.byID[id]
+	if be == nil || be.state != decision.Ready {
+		return nil, nil, nil, false
+	}
+	be.conns = slices.DeleteFunc(be.conns, func(c *conn) bool {
+		old := c.idleFor(now) > b.config.Idle*6/10 // as over HTTP/1.1: the backend may be closing it
+		if old {
+			drop = append(drop, c)
+		}
+		return old
+	})
+	for _, c := range be.conns {
+		if c.reserve() == nil {
+			return be, c, nil, false
+		}
+	}
+	for _, d := range be.dialing {
+		if d.waiting < b.config.Streams {
+			d.waiting++
+			return be, nil, d, false
+		}
+	}
+	fit := 0 // one that the backend is leaving does not count while its last streams end, up to a bound
+	for _, c := range be.conns {
+		if c.takes() == fresh {
+			fit++
+		}
+	}
+	if fit+len(be.dialing) >= b.config.Conns || len(be.conns)+len(be.dialing) >= 2*b.config.Conns {
+		return be, nil, nil, false
+	}
+	d = &dial{waiting: 1, done: make(chan struct{})}
+	be.dialing = append(be.dialing, d)
+	b.ran.Add(1)
+	return be, nil, d, true
+}
+
+// dial brings a connection up. It goes on when the attempt that began it is called off, as others may wait for it.
+func (b *Backends) dial(be *backend, d *dial) {
+	ctx, cancel := context.WithTimeout(context.Background(), b.config.Connect)
+	defer cancel()
+	nc, err := b.config.Dial(ctx, "tcp", be.addr)
+	var c *conn
+	if err == nil {
+		c, err = newConn(nc, b.config.Streams, func(c *conn) { b.forget(be, c); b.ran.Done() })
+	}
+	if err != nil {
+		b.ran.Done()
+	}
+	b.mu.Lock()
+	be.dialing = slices.DeleteFunc(be.dialing, func(o *dial) bool { return o == d })
+	gone := be.gone
+	if err == nil && !gone && c.takes() != ended {
+		be.conns = append(be.conns, c)
+	}
+	b.mu.Unlock()
+	if err == nil && gone {
+		c.leave()
+	}
+	d.failed = err != nil
+	close(d.done)
+}
+
+// forget drops a connection that has ended.
+func (b *Backends) forget(be *backend, c *conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	be.conns = slices.DeleteFunc(be.conns, func(o *conn) bool { return o == c })
+}
+
+// leave lets nothing new onto a connection and ends it when what is on it has ended.
+func (c *conn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+	c.settle()
+}
--- /dev/null
+++ b/internal/grpcback/backends_test.go
@@ -0,0 +1,488 @@
+package grpcback
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/drive"
+	"pumicecroft/internal/grpcwire"
+	"pumicecroft/internal/standin"
+	"pumicecroft/internal/testkit"
+	"pumicecroft/membership"
+)
+
+// rig is a backend and what makes attempts at it.
+type rig struct {
+	t       *testing.T
+	backend *standin.GRPCBackend
+	ledger  *standin.Ledger
+	back    *Backends
+	lastID  atomic.Uint64
+}
+
+func newRig(t *testing.T, act func(standin.Attempt) standin.GRPCAct, change func(*standin.GRPCConfig, *Config)) *rig {
+	t.Helper()
+	r := &rig{t: t, ledger: &standin.Ledger{}}
+	sc := standin.GRPCConfig{Name: "g", Ledger: r.ledger, Act: act, Cell: &standin.Cell{Window: 5 * time.Second}, Keyed: func(m string) bool { return m == "/shop.Desk/Pay" }}
+	c := Config{Connect: testkit.Patient, MaxMessage: 1 << 20}
+	if change != nil {
+		change(&sc, &c)
+	}
+	var err error
+	if r.backend, err = standin.StartGRPC(sc); err != nil {
+		t.Fatal(err)
+	}
+	r.back = New(c)
+	r.back.Apply([]membership.Change{{BackendInfo: decision.BackendInfo{ID: 1}, Addr: r.backend.Addr()}})
+	t.Cleanup(func() { r.back.Close(); r.backend.Kill() })
+	return r
+}
+
+func framed(n int) []byte {
+	return append(binary.BigEndian.AppendUint32([]byte{0}, uint32(n)), make([]byte, n)...)
+}
+
+func (r *rig) request(size int) *Request {
+	id := fmt.Sprintf("%016x", r.lastID.Add(1))
+	return &Request{Method: "/shop.Desk/Pay", Body: framed(size), Metadata: []Field{{"request-id", id}, {"idempotency-key", "key-" + id}}}
+}
+
+// attempt makes one attempt; patience 0 is a long one.
+func (r *rig) attempt(req *Request, patience time.Duration) drive.Reply {
+	if patience == 0 {
+		patience = testkit.Patient
+	}
+	return r.back.Carry(drive.NewAttempt(1, time.Now().Add(patience), req))
+}
+
+// Each way in which a backend can end an attempt gives the result that the table has for it, and what the result calls
+// unrun has not run.
+func TestResults(t *testing.T) {
+	for act, want := range map[standin.GRPCAct]decision.Result{
+		standin.GRPCServe: decision.Answered, standin.GRPCNotFound: decision.Answered,
+		standin.GRPCStream:       decision.Unknown, // three messages for a unary call
+		standin.GRPCRefuseStream: decision.Refused, standin.GRPCGoAwayBelow: decision.Refused, standin.GRPCPushBack: decision.Refused,
+		standin.GRPCHang: decision.TimedOut, standin.GRPCHeadThenHang: decision.TimedOut,
+		standin.GRPCResetCancel: decision.Broken, standin.GRPCResetLate: decision.Broken, standin.GRPCBreak: decision.Broken, standin.GRPCBreakLate: decision.Broken,
+		standin.GRPCInternal:  decision.AnsweredErr,
+		standin.GRPCNoMessage: decision.Unknown, standin.GRPCTwoMessages: decision.Unknown, standin.GRPCTrailersCut: decision.Unknown, standin.GRPCTooLong: decision.Unknown,
+	} {
+		t.Run(fmt.Sprint(act), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, func(standin.Attempt) standin.GRPCAct { return act }, nil)
+			patience := time.Duration(0)
+			if want == decision.TimedOut {
+				patience = 300 * time.Millisecond
+			}
+			for range 3 { // the connection is fit for the next one, or another is made
+				req := r.request(100)
+				reply := r.attempt(req, patience)
+				if reply.Result != want {
+					t.Errorf("%v, want %v", reply.Result, want)
+				}
+				key := req.Metadata[1].Value
+				unrun := want == decision.Refused
+				if n := r.ledger.Effects(key); unrun && n != 0 || n > 1 {
+					t.Errorf("%d effects", n)
+				}
+				if as := r.ledger.Of(req.Metadata[0].Value); len(as) != 1 { // never again by itself
+					t.Errorf("it reached the backend %d times", len(as))
+				}
+				if a, ok := reply.Body.(*Answer); act == standin.GRPCServe && (!ok || string(a.Body[5:]) != "done "+req.Metadata[0].Value) {
+					t.Errorf("answered %+v", reply.Body)
+				} else if act == standin.GRPCNotFound && (!ok || a.Code != grpcwire.NotFound || a.Message != "as scripted") {
+					t.Errorf("answered %+v", reply.Body)
+				}
+			}
+		})
+	}
+}
+
+// A GOAWAY while streams are open: those above its last stream have not run and are told so, the others end well, and
+// what comes next goes to another connection.
+func TestGoAwayHalfway(t *testing.T) {
+	t.Parallel()
+	hold := make(chan bool)
+	r := newRig(t, func(standin.Attempt) standin.GRPCAct { <-hold; return standin.GRPCServe }, nil)
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release)
+	var mu sync.Mutex
+	results := map[decision.Result]int{}
+	var ran sync.WaitGroup
+	for range 100 {
+		ran.Go(func() {
+			reply := r.attempt(r.request(10), 0)
+			mu.Lock()
+			defer mu.Unlock()
+			results[reply.Result]++
+		})
+	}
+	if !r.ledger.Await(testkit.Patient, func(as []standin.Attempt) bool { return len(as) == 100 }) {
+		t.Fatal("the attempts did not come")
+	}
+	open, _ := r.backend.Conns()
+	if open != 1 {
+		t.Errorf("100 attempts at once made %d connections", open)
+	}
+	r.backend.GoAway(100) // streams are numbered in steps of two: half of them are above
+	for end := time.Now().Add(testkit.Patient); ; time.Sleep(time.Millisecond) {
+		mu.Lock()
+		n := results[decision.Refused]
+		mu.Unlock()
+		if n == 50 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%v on %d connections", results, open)
+		}
+	}
+	release()
+	ran.Wait()
+	if results[decision.Answered] != 50 {
+		t.Errorf("%v", results)
+	}
+	if reply := r.attempt(r.request(10), 0); reply.Result != decision.Answered {
+		t.Errorf("the next one: %v", reply.Result)
+	}
+	if _, total := r.backend.Conns(); total != open+1 {
+		t.Errorf("%d connections, %d before", total, open)
+	}
+}
+
+// A backend that says GOAWAY again and again, with a stream that does not end each time, is asked over new connections,
+// and over so many at once only.
+func TestGoAwayEachTime(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, func(standin.Attempt) standin.GRPCAct { return standin.GRPCHang }, func(_ *standin.GRPCConfig, c *Config) { c.Conns = 1 })
+	var ran sync.WaitGroup
+	defer ran.Wait()
+	for i := range 2 {
+		ran.Go(func() { r.attempt(r.request(10), time.Second) })
+		if !r.ledger.Await(testkit.Patient, func(as []standin.Attempt) bool { return len(as) == i+1 }) {
+			t.Fatalf("attempt %d did not come", i)
+		}
+		r.backend.GoAway(0)
+		for end := time.Now().Add(testkit.Patient); ; time.Sleep(time.Millisecond) {
+			r.back.mu.Lock()
+			conns := r.back.byID[1].conns
+			left := len(conns) == i+1 && conns[i].takes() == leaving
+			r.back.mu.Unlock()
+			if left {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatal("GOAWAY is not heard")
+			}
+		}
+	}
+	if reply := r.attempt(r.request(10), 0); reply.Result != decision.NotSent {
+		t.Errorf("with two connections that are ending: %v", reply.Result)
+	}
+	if open, total := r.backend.Conns(); open != 2 || total != 2 {
+		t.Errorf("%d connections open of %d", open, total)
+	}
+}
+
+// Calls that are given up reset their streams at once, and their slots are free again.
+func TestCalledOff(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, func(standin.Attempt) standin.GRPCAct { return standin.GRPCHang }, func(_ *standin.GRPCConfig, c *Config) { c.Conns, c.Streams = 1, 4 })
+	for range 20 {
+		a := drive.NewAttempt(1, time.Now().Add(testkit.Patient), r.request(10))
+		before := len(r.ledger.Attempts())
+		go func() {
+			r.ledger.Await(testkit.Patient, func(as []standin.Attempt) bool { return len(as) > before })
+			a.CallOff(drive.ErrCalledOff)
+		}()
+		if reply := r.back.Carry(a); reply.Result != decision.Cancelled {
+			t.Fatalf("%v", reply.Result)
+		}
+	}
+	a := drive.NewAttempt(1, time.Now().Add(testkit.Patient), r.request(10))
+	a.CallOff(drive.ErrCalledOff)
+	if reply := r.back.Carry(a); reply.Result != decision.NotSent {
+		t.Errorf("called off before it began: %v", reply.Result)
+	}
+	if _, total := r.backend.Conns(); total != 1 {
+		t.Errorf("%d connections", total)
+	}
+}
+
+// Streams and connections are bounded by both sides; what finds none free has not been sent.
+func TestBounds(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, func(standin.Attempt) standin.GRPCAct { return standin.GRPCHang },
+		func(s *standin.GRPCConfig, c *Config) { c.Conns, c.Streams, s.MaxStreams = 2, 8, 5 })
+	warm := drive.NewAttempt(1, time.Now().Add(100*time.Millisecond), r.request(10)) // so that the settings have come
+	r.back.Carry(warm)
+	var open sync.WaitGroup
+	sent := atomic.Int64{}
+	for range 40 {
+		open.Go(func() {
+			if reply := r.attempt(r.request(10), time.Second); reply.Result != decision.NotSent {
+				sent.Add(1)
+			}
+		})
+	}
+	open.Wait()
+	if n := sent.Load(); n < 5 || n > 13 { // five on the one, and up to eight on the other until its settings have come
+		t.Errorf("%d were sent", n)
+	}
+	if _, total := r.backend.Conns(); total > 2 {
+		t.Errorf("%d connections", total)
+	}
+}
+
+// A backend that stops reading with a request half written: it can't have run, and neighbours on other connections go on.
+func TestAWindowThatStaysShut(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, nil, func(s *standin.GRPCConfig, c *Config) { s.Window, c.Conns = 1000, 1 })
+	r.attempt(r.request(10), 0) // the settings have come
+	if reply := r.attempt(r.request(5000), 300*time.Millisecond); reply.Result != decision.NotSent {
+		t.Errorf("half written: %v", reply.Result)
+	}
+	if n := len(r.ledger.Attempts()); n != 1 {
+		t.Errorf("%d requests came whole", n)
+	}
+	if reply := r.attempt(r.request(10), 0); reply.Result != decision.Answered {
+		t.Errorf("the next one on the connection: %v", reply.Result)
+	}
+}
+
+// A drain or an end of a backend lets nothing new onto old connections, and what is on them ends well.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	hold := make(chan bool)
+	r := newRig(t, func(standin.Attempt) standin.GRPCAct { <-hold; return standin.GRPCServe }, nil)
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release)
+	ended := make(chan decision.Result)
+	go func() { ended <- r.attempt(r.request(10), 0).Result }()
+	r.ledger.Await(testkit.Patient, func(as []standin.Attempt) bool { return len(as) == 1 })
+	change := membership.Change{BackendInfo: decision.BackendInfo{ID: 1, State: decision.Draining}, Addr: r.backend.Addr()}
+	r.back.Apply([]membership.Change{change})
+	if reply := r.attempt(r.request(10), 0); reply.Result != decision.NotSent {
+		t.Errorf("to a draining backend: %v", reply.Result)
+	}
+	change.State = decision.Gone
+	r.back.Apply([]membership.Change{change})
+	release()
+	if got := <-ended; got != decision.Answered {
+		t.Errorf("what was in flight: %v", got)
+	}
+	for end := time.Now().Add(testkit.Patient); ; time.Sleep(time.Millisecond) { // and its connection ends then
+		if open, _ := r.backend.Conns(); open == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("its connection is never closed")
+		}
+	}
+}
+
+func TestNoConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	b := New(Config{})
+	defer b.Close()
+	b.Apply([]membership.Change{{BackendInfo: decision.BackendInfo{ID: 1}, Addr: ln.Addr().String()}})
+	r := &rig{t: t, back: b}
+	if reply := r.attempt(r.request(1), 0); reply.Result != decision.NoConnection {
+		t.Errorf("%v", reply.Result)
+	}
+	if reply := b.Carry(drive.NewAttempt(9, time.Now().Add(time.Second), r.request(1))); reply.Result != decision.NotSent {
+		t.Errorf("to a backend that is not known: %v", reply.Result)
+	}
+}
+
+// raw serves connections by hand, after the preface and the settings.
+func raw(t *testing.T, serve func(c net.Conn, f *http2.Framer)) *rig {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				buf := make([]byte, len(http2.ClientPreface))
+				if _, err := conn.Read(buf); err != nil {
+					return
+				}
+				f := http2.NewFramer(conn, conn)
+				f.WriteSettings()
+				serve(conn, f)
+			}()
+		}
+	}()
+	r := &rig{t: t, back: New(Config{Connect: testkit.Patient})}
+	r.back.Apply([]membership.Change{{BackendInfo: decision.BackendInfo{ID: 1}, Addr: ln.Addr().String()}})
+	t.Cleanup(func() { ln.Close(); r.back.Close() })
+	return r
+}
+
+// A backend that floods with frames that carry nothing, or sends what is no HTTP/2, loses its connection, and memory
+// stays what it was.
+func TestFloods(t *testing.T) {
+	for name, serve := range map[string]func(c net.Conn, f *http2.Framer){
+		"pings": func(_ net.Conn, f *http2.Framer) {
+			for f.WritePing(false, [8]byte{}) == nil {
+			}
+		},
+		"settings": func(_ net.Conn, f *http2.Framer) {
+			for f.WriteSettings() == nil {
+			}
+		},
+		"empty data": func(_ net.Conn, f *http2.Framer) {
+			for f.WriteData(1, false, nil) == nil {
+			}
+		},
+		"noise": func(c net.Conn, _ *http2.Framer) {
+			for {
+				if _, err := c.Write(make([]byte, 1<<16)); err != nil {
+					return
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var before, after runtime.MemStats
+			dropped := make(chan bool, 10)
+			r := raw(t, func(c net.Conn, f *http2.Framer) {
+				go func() { // it reads, so that nothing is held up by that
+					for {
+						if _, err := c.Read(make([]byte, 1<<16)); err != nil {
+							return
+						}
+					}
+				}()
+				serve(c, f)
+				dropped <- true
+			})
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			switch reply := r.attempt(r.request(10), 0); reply.Result {
+			case decision.Broken, decision.NotSent, decision.Unknown:
+			default:
+				t.Errorf("%v", reply.Result)
+			}
+			testkit.Await(t, dropped, "the connection to be ended")
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 8<<20 {
+				t.Errorf("%d bytes more", grown)
+			}
+		})
+	}
+}
+
+// Many at once over few connections, each with its own answer, one of them stuck.
+func TestManyStreams(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, func(a standin.Attempt) standin.GRPCAct {
+		if a.ID == fmt.Sprintf("%016x", 1) {
+			return standin.GRPCHang
+		}
+		return standin.GRPCServe
+	}, func(_ *standin.GRPCConfig, c *Config) { c.Conns, c.Streams = 1, 1000 })
+	ctx, cancel := context.WithCancel(t.Context())
+	stuck := drive.NewAttempt(1, time.Now().Add(testkit.Patient), r.request(10))
+	ended := make(chan decision.Result)
+	go func() { ended <- r.back.Carry(stuck).Result }()
+	r.ledger.Await(testkit.Patient, func(as []standin.Attempt) bool { return len(as) == 1 })
+	var ran sync.WaitGroup
+	for range 90 { // a backend that says nothing of it is taken to allow 100
+		ran.Go(func() {
+			for range 20 {
+				req := r.request(2000)
+				reply := r.attempt(req, 0)
+				a, ok := reply.Body.(*Answer)
+				if !ok || string(a.Body[5:]) != "done "+req.Metadata[0].Value {
+					t.Errorf("%v %+v", reply.Result, reply.Body)
+					cancel()
+				}
+				if ctx.Err() != nil {
+					return
+				}
+			}
+		})
+	}
+	ran.Wait()
+	stuck.CallOff(drive.ErrTimeUp)
+	if got := <-ended; got != decision.TimedOut {
+		t.Errorf("the one that is stuck: %v", got)
+	}
+	if _, total := r.backend.Conns(); total != 1 {
+		t.Errorf("%d connections", total)
+	}
+	cancel()
+}
+
+// An answer that is longer than the windows comes whole, as they are opened while it is read.
+func TestALongAnswer(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, func(standin.Attempt) standin.GRPCAct { return standin.GRPCTooLong }, func(_ *standin.GRPCConfig, c *Config) { c.Conns, c.MaxMessage = 1, 16<<20 })
+	for range 2 {
+		reply := r.attempt(r.request(10), 0)
+		if a, ok := reply.Body.(*Answer); !ok || len(a.Body) != standin.GRPCTooLongBytes+5 {
+			t.Fatalf("%v", reply.Result)
+		}
+	}
+}
+
+// A backend that opens the window of streams by a setting, halfway through a request, gets the rest of it.
+func TestASettingHalfway(t *testing.T) {
+	t.Parallel()
+	r := raw(t, func(_ net.Conn, f *http2.Framer) {
+		f.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 10})
+		var head bytes.Buffer
+		encoder := hpack.NewEncoder(&head)
+		got := map[uint32]int{}
+		for {
+			frame, err := f.ReadFrame()
+			if err != nil {
+				return
+			}
+			d, ok := frame.(*http2.DataFrame)
+			if !ok {
+				continue
+			}
+			if got[d.StreamID] += len(d.Data()); got[d.StreamID] == 10 && !d.StreamEnded() {
+				f.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 1000})
+			}
+			if !d.StreamEnded() {
+				continue
+			}
+			head.Reset()
+			for _, h := range [][2]string{{":status", "200"}, {"content-type", "application/grpc"}, {"grpc-status", "5"}} {
+				encoder.WriteField(hpack.HeaderField{Name: h[0], Value: h[1]})
+			}
+			f.WriteHeaders(http2.HeadersFrameParam{StreamID: d.StreamID, BlockFragment: head.Bytes(), EndHeaders: true, EndStream: true})
+		}
+	})
+	for _, size := range []int{1, 100} { // with the first answer the first settings have come
+		if reply := r.attempt(r.request(size), 0); reply.Result != decision.Answered {
+			t.Errorf("%d bytes: %v", size, reply.Result)
+		}
+	}
+}
--- /dev/null
+++ b/internal/grpcback/conn.go
@@ -0,0 +1,507 @@
+package grpcback
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"pumicecroft/internal/grpcwire"
+)
+
+const (
+	// streamWindow is what a stream may have on its way to us unread, in bytes, and so what one holds at the most beside
+	// its message; connWindow is the same for a connection, and is given back as bytes come, so that a stream that is not
+	// read holds up no other.
+	streamWindow = 64 << 10
+	connWindow   = 1 << 20
+	// maxHeads bounds a head, in bytes as they are counted in HPACK.
+	maxHeads = 16 << 10
+	// A write that has made no way for this long ends its connection: nothing behind it could go out either.
+	writeTimeout = time.Second
+	// maxIdleFrames is how many frames that carry nothing (pings, settings, empty data) a backend may send for each
+	// stream that it ends.
+	maxIdleFrames = 1000
+)
+
+var (
+	errFlood    = errors.New("grpcback: too many frames that carry nothing")
+	errTooMany  = errors.New("grpcback: no stream is free")
+	errLeaving  = errors.New("grpcback: the backend has said GOAWAY")
+	errProtocol = errors.New("grpcback: not HTTP/2 as it should be")
+)
+
+// Field is one field of metadata, its name in lower case.
+type Field struct{ Name, Value string }
+
+// stream is one attempt on a connection. Its fields are guarded by conn.mu but for those that say otherwise.
+type stream struct {
+	conn   *conn
+	id     uint32
+	call   grpcwire.Call
+	window int64 // for what this side sends
+	answer Answer
+	body   []byte        // of the answer, framed; of a unary one all of it
+	done   chan struct{} // closed when call has ended
+	over   bool          // done is closed
+}
+
+// conn is one connection over HTTP/2 to a backend. The reader is a goroutine of its own; whoever has something to
+// write writes it, under wmu. mu is never held while something waits for the network; wmu is taken before mu.
+type conn struct {
+	nc     net.Conn
+	most   int // streams at once, by this side's configuration
+	onEnd  func(*conn)
+	reader *http2.Framer
+
+	wmu     sync.Mutex
+	out     *bufio.Writer
+	writer  *http2.Framer
+	head    bytes.Buffer
+	encoder *hpack.Encoder
+
+	mu       sync.Mutex
+	opened   *sync.Cond // a window was opened, a stream has ended, or the connection has
+	streams  map[uint32]*stream
+	reserved int // streams that are about to be opened
+	next     uint32
+	allowed  uint32    // streams at once, by the backend's settings
+	initial  int64     // window of a new stream, by the backend's settings
+	frame    int       // largest frame that the backend takes
+	window   int64     // for what this side sends on all streams
+	leaving  bool      // GOAWAY has come
+	err      error     // why it has ended
+	idle     int       // frames that carried nothing since the last end of a stream
+	since    time.Time // it has had no stream since
+}
+
+// newConn begins a connection; onEnd is called once, when it takes nothing any more.
+func newConn(nc net.Conn, most int, onEnd func(*conn)) (*conn, error) {
+	c := &conn{nc: nc, most: most, onEnd: onEnd, streams: map[uint32]*stream{}, next: 1, allowed: 100, initial: 65535, frame: 16384, window: 65535,
+		since: time.Now()}
+	c.opened = sync.NewCond(&c.mu)
+	c.out = bufio.NewWriterSize(deadlined{nc}, 16<<10)
+	c.writer = http2.NewFramer(c.out, nil)
+	c.encoder = hpack.NewEncoder(&c.head)
+	c.reader = http2.NewFramer(nil, bufio.NewReaderSize(nc, 16<<10))
+	c.reader.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	c.reader.MaxHeaderListSize = maxHeads
+	c.reader.SetMaxReadFrameSize(16 << 10)
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	_, err := io.WriteString(c.out, http2.ClientPreface)
+	err = errors.Join(err, c.writer.WriteSettings(http2.Setting{ID: http2.SettingEnablePush, Val: 0},
+		http2.Setting{ID: http2.SettingInitialWindowSize, Val: streamWindow}, http2.Setting{ID: http2.SettingMaxHeaderListSize, Val: maxHeads}),
+		c.writer.WriteWindowUpdate(0, connWindow-65535), c.out.Flush())
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
+	go c.read()
+	return c, nil
+}
+
+// deadlined gives each write a time.
+type deadlined struct{ net.Conn }
+
+func (d deadlined) Write(p []byte) (int, error) {
+	d.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return d.Conn.Write(p)
+}
+
+// reserve takes one of the connection's streams, if one is free.
+func (c *conn) reserve() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.err != nil:
+		return c.err
+	case c.leaving:
+		return errLeaving
+	case len(c.streams)+c.reserved >= min(c.most, int(c.allowed)) || c.next > 1<<30:
+		return errTooMany
+	}
+	c.reserved++
+	return nil
+}
+
+// What a connection takes.
+const (
+	fresh   = iota // new streams
+	leaving        // none, and ends what it has
+	ended          // nothing
+)
+
+func (c *conn) takes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.err != nil:
+		return ended
+	case c.leaving:
+		return leaving
+	}
+	return fresh
+}
+
+// open opens the stream that was reserved and writes its head.
+func (c *conn) open(s *stream, fields []Field) error {
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	c.mu.Lock()
+	c.reserved--
+	err := c.err
+	if err == nil && c.leaving {
+		err = errLeaving
+	}
+	if err != nil {
+		c.settle()
+		c.mu.Unlock()
+		return err
+	}
+	s.conn, s.id, s.window = c, c.next, c.initial
+	c.next += 2
+	c.streams[s.id] = s
+	s.call.Opened()
+	frame := c.frame
+	c.mu.Unlock()
+
+	c.head.Reset()
+	for _, f := range fields {
+		c.encoder.WriteField(hpack.HeaderField{Name: f.Name, Value: f.Value})
+	}
+	block := c.head.Bytes()
+	first := block[:min(len(block), frame)]
+	block = block[len(first):]
+	err = c.writer.WriteHeaders(http2.HeadersFrameParam{StreamID: s.id, BlockFragment: first, EndHeaders: len(block) == 0})
+	for err == nil && len(block) > 0 {
+		next := block[:min(len(block), frame)]
+		block = block[len(next):]
+		err = c.writer.WriteContinuation(s.id, len(block) == 0, next)
+	}
+	return c.wrote(err)
+}
+
+// wrote ends the connection if a write has failed; it wants wmu.
+func (c *conn) wrote(err error) error {
+	if err != nil {
+		c.fail(fmt.Errorf("grpcback: write: %w", err))
+	}
+	return err
+}
+
+// send writes the request's body, as the windows allow. It returns early when the stream has ended.
+func (c *conn) send(s *stream, p []byte) {
+	for {
+		c.mu.Lock()
+		n := 0
+		for {
+			if s.over || c.err != nil {
+				c.mu.Unlock()
+				return
+			}
+			if n = int(min(int64(len(p)), int64(c.frame), c.window, s.window)); n > 0 || len(p) == 0 {
+				break
+			}
+			c.opened.Wait()
+		}
+		c.window -= int64(n)
+		s.window -= int64(n)
+		last := n == len(p)
+		c.mu.Unlock()
+
+		c.wmu.Lock()
+		c.mu.Lock()
+		over := s.over
+		if last && !over {
+			s.call.Sent()
+		}
+		c.mu.Unlock()
+		if !over {
+			err := c.writer.WriteData(s.id, last, p[:n])
+			if err == nil { // also of a part: the backend may open the window only when it has it
+				err = c.out.Flush()
+			}
+			if c.wrote(err) != nil {
+				over = true
+			}
+		}
+		c.wmu.Unlock()
+		if p = p[n:]; last || over {
+			return
+		}
+	}
+}
+
+// giveUp ends a stream from this side: as says how.
+func (c *conn) giveUp(s *stream, as func(*grpcwire.Call)) {
+	c.mu.Lock()
+	if s.over {
+		c.mu.Unlock()
+		return
+	}
+	as(&s.call)
+	c.finish(s)
+	c.mu.Unlock()
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	c.wrote(errors.Join(c.writer.WriteRSTStream(s.id, http2.ErrCodeCancel), c.out.Flush()))
+}
+
+// finish lets a stream go that has ended; it wants mu.
+func (c *conn) finish(s *stream) {
+	if s.over {
+		return
+	}
+	s.over = true
+	close(s.done)
+	delete(c.streams, s.id)
+	c.idle = 0
+	c.settle()
+	c.opened.Broadcast()
+}
+
+// settle notes that the connection has no streams; one that takes none any more is closed then. It wants mu.
+func (c *conn) settle() {
+	if len(c.streams)+c.reserved > 0 {
+		return
+	}
+	c.since = time.Now()
+	if c.leaving && c.err == nil {
+		c.err = errLeaving
+		c.nc.Close()
+	}
+}
+
+// idleFor tells for how long the connection has had no stream; 0: it has one.
+func (c *conn) idleFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.streams)+c.reserved > 0 {
+		return 0
+	}
+	return now.Sub(c.since)
+}
+
+// fail ends the connection and all that is on it. It may be called with wmu held, not with mu.
+func (c *conn) fail(err error) {
+	c.mu.Lock()
+	first := c.err == nil
+	if first {
+		c.err = err
+	}
+	for _, s := range c.streams {
+		s.call.Lost()
+		c.finish(s)
+	}
+	c.opened.Broadcast()
+	c.mu.Unlock()
+	c.nc.Close()
+}
+
+// read takes frames until the connection ends.
+func (c *conn) read() {
+	defer c.onEnd(c)
+	for {
+		f, err := c.reader.ReadFrame()
+		var se http2.StreamError
+		if errors.As(err, &se) { // such as a head that makes no sense
+			c.broken(se.StreamID)
+			continue
+		}
+		if err == nil {
+			err = c.take(f)
+		}
+		if err != nil {
+			c.fail(fmt.Errorf("grpcback: read: %w", err))
+			return
+		}
+	}
+}
+
+// broken ends a stream of which came what can't be read.
+func (c *conn) broken(id uint32) {
+	c.mu.Lock()
+	s := c.streams[id]
+	c.mu.Unlock()
+	if s != nil {
+		c.giveUp(s, func(k *grpcwire.Call) { k.Garbled("a head that can't be read") })
+	}
+}
+
+// take deals with one frame.
+func (c *conn) take(f http2.Frame) error {
+	var answer func() error // to be written once mu is let go
+	c.mu.Lock()
+	idle := true
+	switch f := f.(type) {
+	case *http2.SettingsFrame:
+		if !f.IsAck() {
+			err := f.ForeachSetting(func(s http2.Setting) error { return c.set(s) })
+			if err != nil {
+				c.mu.Unlock()
+				return err
+			}
+			answer = c.writer.WriteSettingsAck
+		}
+	case *http2.PingFrame:
+		if data := f.Data; !f.IsAck() {
+			answer = func() error { return c.writer.WritePing(true, data) }
+		}
+	case *http2.WindowUpdateFrame:
+		if f.StreamID == 0 {
+			c.window += int64(f.Increment)
+		} else if s := c.streams[f.StreamID]; s != nil {
+			s.window += int64(f.Increment)
+		}
+		c.opened.Broadcast()
+		idle = false
+	case *http2.GoAwayFrame:
+		c.leaving = true
+		for _, s := range c.streams {
+			s.call.GoAway(f.LastStreamID, s.id)
+			c.ifEnded(s)
+		}
+		c.settle()
+	case *http2.RSTStreamFrame:
+		if s := c.streams[f.StreamID]; s != nil {
+			s.call.Reset(uint32(f.ErrCode))
+			c.ifEnded(s)
+		}
+	case *http2.MetaHeadersFrame:
+		if s := c.streams[f.StreamID]; s != nil {
+			s.headers(f)
+			c.ifEnded(s)
+		}
+	case *http2.DataFrame:
+		n := uint32(f.Length)
+		idle = n == 0
+		s := c.streams[f.StreamID]
+		if s != nil {
+			s.data(f.Data(), f.StreamEnded())
+			c.ifEnded(s)
+		}
+		if n > 0 {
+			id, open := f.StreamID, s != nil && !s.over
+			answer = func() error {
+				err := c.writer.WriteWindowUpdate(0, n)
+				if open {
+					err = errors.Join(err, c.writer.WriteWindowUpdate(id, n))
+				}
+				return err
+			}
+		}
+	}
+	if idle {
+		c.idle++
+	}
+	flood := c.idle > maxIdleFrames
+	c.mu.Unlock()
+	if flood {
+		return errFlood
+	}
+	if answer == nil {
+		return nil
+	}
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	return errors.Join(answer(), c.out.Flush())
+}
+
+// set takes one of the backend's settings; it wants mu.
+func (c *conn) set(s http2.Setting) error {
+	if err := s.Valid(); err != nil {
+		return err
+	}
+	switch s.ID {
+	case http2.SettingMaxConcurrentStreams:
+		c.allowed = s.Val
+	case http2.SettingMaxFrameSize:
+		c.frame = int(min(s.Val, 64<<10))
+	case http2.SettingInitialWindowSize:
+		for _, st := range c.streams {
+			st.window += int64(s.Val) - c.initial
+		}
+		c.initial = int64(s.Val)
+		c.opened.Broadcast()
+	}
+	return nil
+}
+
+// ifEnded lets a stream go whose call has ended; it wants mu.
+func (c *conn) ifEnded(s *stream) {
+	if _, ended := s.call.Ended(); ended && !s.over {
+		if id := s.id; !s.answer.whole || !s.call.HasSent() { // the backend may still be sending: it need not
+			go c.cancel(id)
+		}
+		c.finish(s)
+	}
+}
+
+// cancel tells the backend that a stream is not waited for.
+func (c *conn) cancel(id uint32) {
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	c.wrote(errors.Join(c.writer.WriteRSTStream(id, http2.ErrCodeCancel), c.out.Flush()))
+}
+
+// headers takes a head of the answer.
+func (s *stream) headers(f *http2.MetaHeadersFrame) {
+	if f.Truncated {
+		s.call.Garbled("a head over the limit")
+		return
+	}
+	var t grpcwire.Trailer
+	var rest []Field
+	for _, h := range f.RegularFields() {
+		switch h.Name {
+		case "grpc-status":
+			t.Status = h.Value
+		case "grpc-message":
+			s.answer.Message = h.Value
+		case "grpc-retry-pushback-ms":
+			t.Pushback = h.Value
+		case "content-type":
+		default:
+			rest = append(rest, Field{h.Name, h.Value})
+		}
+	}
+	if !s.call.Started() {
+		contentType := ""
+		for _, h := range f.RegularFields() {
+			if h.Name == "content-type" {
+				contentType = h.Value
+			}
+		}
+		if !f.StreamEnded() {
+			s.answer.Header = rest
+			s.call.Head(f.PseudoValue("status"), contentType)
+			return
+		}
+		if status := f.PseudoValue("status"); status != "200" {
+			s.call.Head(status, contentType)
+			return
+		}
+	} else if !f.StreamEnded() {
+		s.call.Head("", "") // a second one
+		return
+	}
+	s.answer.whole = true
+	s.answer.Trailer = rest
+	s.call.Trailers(t)
+}
+
+// data takes a part of the answer's body.
+func (s *stream) data(p []byte, last bool) {
+	s.call.Data(p, last)
+	if _, ended := s.call.Ended(); !ended {
+		s.body = append(s.body, p...)
+	}
+}
--- /dev/null
+++ b/internal/standin/grpc_test.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+)
+
+// bytesCodec passes messages as they are.
+type bytesCodec struct{}
+
+func (bytesCodec) Marshal(v any) ([]byte, error) { return *v.(*[]byte), nil }
+func (bytesCodec) Unmarshal(data []byte, v any) error {
+	*v.(*[]byte) = append([]byte{}, data...)
+	return nil
+}
+func (bytesCodec) Name() string { return "proto" }
+
+// The stand-in is what gRPC's own client expects; and that client sends a call again by itself when its stream was
+// refused, also with retries switched off, which is why front doors don't use it.
+func TestGRPCAgainstTheClient(t *testing.T) {
+	t.Parallel()
+	ledger := &Ledger{}
+	var act atomic.Int64
+	var times atomic.Int64
+	b, err := StartGRPC(GRPCConfig{Name: "g", Ledger: ledger, Cell: &Cell{Window: 5 * time.Second}, Keyed: func(string) bool { return true },
+		Act: func(Attempt) GRPCAct {
+			if GRPCAct(act.Load()) == GRPCRefuseStream && times.Add(1) > 1 {
+				return GRPCServe
+			}
+			return GRPCAct(act.Load())
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Kill)
+	client, err := grpc.NewClient("passthrough:///"+b.Addr(), grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	for i, c := range []struct {
+		act  GRPCAct
+		code codes.Code
+	}{{GRPCServe, codes.OK}, {GRPCNotFound, codes.NotFound}, {GRPCInternal, codes.Internal}, {GRPCPushBack, codes.Unavailable}, {GRPCResetCancel, codes.Canceled},
+		{GRPCResetLate, codes.Internal}, {GRPCNoMessage, codes.Internal}, {GRPCTwoMessages, codes.Internal}, {GRPCTooLong, codes.ResourceExhausted},
+		{GRPCHang, codes.DeadlineExceeded}, {GRPCRefuseStream, codes.OK}, {GRPCServe, codes.OK}} {
+		act.Store(int64(c.act))
+		id := fmt.Sprintf("id-%d", i)
+		ctx, cancel := context.WithTimeout(metadata.AppendToOutgoingContext(t.Context(), "request-id", id, "idempotency-key", "key-"+id), 20*time.Second)
+		if c.act == GRPCHang {
+			ctx, cancel = context.WithTimeout(ctx, 100*time.Millisecond)
+		}
+		in, out := []byte("amount=3"), []byte(nil)
+		err := client.Invoke(ctx, "/shop.Desk/Pay", &in, &out, grpc.ForceCodec(bytesCodec{}))
+		cancel()
+		if status.Code(err) != c.code || err == nil && string(out) != "done "+id {
+			t.Errorf("act %d: %v, %q; want %v", c.act, err, out, c.code)
+		}
+		as := ledger.Of(id)
+		want := 1
+		if c.act == GRPCRefuseStream {
+			want = 2
+		}
+		if len(as) != want || as[0].Body != "amount=3" || as[0].Timeout == "" || as[0].Key != "key-"+id {
+			t.Errorf("act %d: it reached the backend as %+v", c.act, as)
+		}
+	}
+	stream, err := client.NewStream(t.Context(), &grpc.StreamDesc{ServerStreams: true}, "/shop.Desk/List", grpc.ForceCodec(bytesCodec{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	act.Store(int64(GRPCStream))
+	in := []byte("all")
+	if err := stream.SendMsg(&in); err != nil {
+		t.Fatal(err)
+	}
+	stream.CloseSend()
+	n := 0
+	for out := []byte(nil); stream.RecvMsg(&out) == nil; n++ {
+	}
+	if n != 3 {
+		t.Errorf("%d messages of a stream", n)
+	}
+}
