One place for what was written twice: cancels of a stream, a head's fields, accepting

Change: grpcback's giveUp calls cancel, a head's fields are gone through once, fail has no flag that nobody reads; testkit.Accept serves testkit.Raw and grpcback's test of raw peers.

--- a/internal/grpcback/backends_test.go
+++ b/internal/grpcback/backends_test.go
@@ -313,31 +313,18 @@
 // raw serves connections by hand, after the preface and the settings.
 func raw(t *testing.T, serve func(c net.Conn, f *http2.Framer)) *rig {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				buf := make([]byte, len(http2.ClientPreface))
-				if _, err := conn.Read(buf); err != nil {
-					return
-				}
-				f := http2.NewFramer(conn, conn)
-				f.WriteSettings()
-				serve(conn, f)
-			}()
+	addr := testkit.Accept(t, func(conn net.Conn) {
+		buf := make([]byte, len(http2.ClientPreface))
+		if _, err := conn.Read(buf); err != nil {
+			return
 		}
-	}()
+		f := http2.NewFramer(conn, conn)
+		f.WriteSettings()
+		serve(conn, f)
+	})
 	r := &rig{t: t, back: New(Config{Connect: testkit.Patient})}
-	r.back.Apply([]membership.Change{{BackendInfo: decision.BackendInfo{ID: 1}, Addr: ln.Addr().String()}})
-	t.Cleanup(func() { ln.Close(); r.back.Close() })
+	r.back.Apply([]membership.Change{{BackendInfo: decision.BackendInfo{ID: 1}, Addr: addr}})
+	t.Cleanup(r.back.Close)
 	return r
 }
 
--- a/internal/grpcback/conn.go
+++ b/internal/grpcback/conn.go
@@ -250,9 +250,7 @@
 	as(&s.call)
 	c.finish(s)
 	c.mu.Unlock()
-	c.wmu.Lock()
-	defer c.wmu.Unlock()
-	c.wrote(errors.Join(c.writer.WriteRSTStream(s.id, http2.ErrCodeCancel), c.out.Flush()))
+	c.cancel(s.id)
 }
 
 // finish lets a stream go that has ended; it wants mu.
@@ -293,8 +291,7 @@
 // fail ends the connection and all that is on it. It may be called with wmu held, not with mu.
 func (c *conn) fail(err error) {
 	c.mu.Lock()
-	first := c.err == nil
-	if first {
+	if c.err == nil {
 		c.err = err
 	}
 	for _, s := range c.streams {
@@ -460,6 +457,7 @@
 	}
 	var t grpcwire.Trailer
 	var rest []Field
+	contentType := ""
 	for _, h := range f.RegularFields() {
 		switch h.Name {
 		case "grpc-status":
@@ -469,17 +467,12 @@
 		case "grpc-retry-pushback-ms":
 			t.Pushback = h.Value
 		case "content-type":
+			contentType = h.Value
 		default:
 			rest = append(rest, Field{h.Name, h.Value})
 		}
 	}
 	if !s.call.Started() {
-		contentType := ""
-		for _, h := range f.RegularFields() {
-			if h.Name == "content-type" {
-				contentType = h.Value
-			}
-		}
 		if !f.StreamEnded() {
 			s.answer.Header = rest
 			s.call.Head(f.PseudoValue("status"), contentType)
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -43,14 +43,33 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// Raw is a backend on bare connections: it reads whole requests and hands each to answer, with its number.
-func Raw(t testing.TB, answer func(n int, conn net.Conn)) string {
+// Accept hands each connection to serve, in a goroutine of its own, and closes it when serve returns; it gives the
+// address.
+func Accept(t testing.TB, serve func(conn net.Conn)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				serve(conn)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Raw is a backend on bare connections: it reads whole requests and hands each to answer, with its number.
+func Raw(t testing.TB, answer func(n int, conn net.Conn)) string {
+	t.Helper()
 	numbers := make(chan int)
 	go func() {
 		for n := 1; ; n++ {
@@ -61,29 +80,19 @@
 			}
 		}
 	}()
-	go func() {
+	return Accept(t, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
 		for {
-			conn, err := ln.Accept()
+			req, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				r := bufio.NewReader(conn)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, req.Body); err != nil {
-						return
-					}
-					answer(<-numbers, conn)
-				}
-			}()
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			answer(<-numbers, conn)
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 // Await waits for a value.
