Requests keep to backends of their protocol; answers may begin before they are whole

Need: gRPC clients and backends over the same core.

Change: a request and a backend name a protocol to the decision module, which chooses among backends of the request's own; how many it keeps to, and what a cold one is spared, follow what that protocol sends. Core.Began asks whether an attempt's answer may be passed on before it is whole: it binds the request, whose end is then the attempt's. The answer of an attempt that failed with an error is kept for the client. drive.Mux sends attempts to their protocol's backends; nodes may say which (Consul's meta, the operator's file, lists kept on disk).

The property test of the core found that a module which refuses at AnswerStarted left the answer free to begin; mended.

--- a/config.go
+++ b/config.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pumicecroft/decision"
+	"pumicecroft/internal/drive"
 	"pumicecroft/membership"
 )
 
@@ -29,6 +30,9 @@
 	// told is kept there, and is what a Door begins with until they are heard. Empty: nothing is kept.
 	StateDir string
 
+	// Protocol is what backends speak of whom no source says it: ProtocolHTTP of package membership if it is empty.
+	Protocol string
+
 	BackendConns   int           // connections to all backends together, idle ones among them; 256
 	ConnectTimeout time.Duration // a connection that is not up by then counts as failed; 250 ms
 	IdleTimeout    time.Duration // a backend may close a connection that was idle for this long; 15 s
@@ -60,6 +64,9 @@
 	if me, of := c.Settings.Me, c.Settings.FrontDoors; me < 0 || me >= of {
 		return Config{}, fmt.Errorf("%w: Settings.Me is %d, of %d front doors", ErrConfig, me, of)
 	}
+	if c.Protocol == "" {
+		c.Protocol = membership.ProtocolHTTP
+	}
 	if err := c.Settings.Validate(); err != nil {
 		return Config{}, fmt.Errorf("%w: %w", ErrConfig, err)
 	}
@@ -109,6 +116,12 @@
 // WithMapper says how ServeHTTP reads a request; the default is the Door's PlatformRequest.
 func WithMapper(m Mapper) Option { return func(d *Door) { d.mapper = m } }
 
+// WithProtocol lets the Door reach backends over a protocol beside HTTP/1.1, by its name in membership.Node. What reaches
+// them is made by packages of this module: see package grpcfront.
+func WithProtocol(name string, b drive.Backends) Option {
+	return func(d *Door) { d.protocols[name] = b }
+}
+
 // WithLogger takes what the Door has to say about bad input and broken backends, a few lines a second at the
 // most. The default is silence.
 func WithLogger(l *slog.Logger) Option { return func(d *Door) { d.log = l } }
--- a/decision/api.go
+++ b/decision/api.go
@@ -144,6 +144,7 @@
 	Patience  time.Duration // how long this client waits for this try
 	FirstDoor int           // the first of the front doors that the customer uses
 	Spread    int           // how many doors in a row it uses
+	Protocol  string        // only backends that speak it are sent to
 }
 
 // BackendState is what the list says of a backend.
@@ -165,6 +166,8 @@
 	Cell    int
 	Started time.Duration // when its process last started; 0: long ago
 	Weight  float64
+	// Protocol is what the backend speaks, a name that means nothing here. A backend keeps it while it has its id.
+	Protocol string
 }
 
 // ListKind says what a list update holds.
--- a/decision/gateway.go
+++ b/decision/gateway.go
@@ -82,10 +82,18 @@
 	result Result
 }
 
+// speakers are the backends that speak one protocol: a request of it goes to no other.
+type speakers struct {
+	known, ready    int     // backends; those that are ready
+	sends, sendRate float64 // of this second; a second, on average
+}
+
 type request struct {
 	id              RequestID
 	seq             uint64
 	class           *class
+	protocol        string
+	fleet           *speakers
 	cust            *customer
 	due             time.Duration
 	tries           []attempt
@@ -137,6 +145,7 @@
 	acts      []Action
 	backends  map[BackendID]*backend
 	order     []*backend // by rank
+	fleets    map[string]*speakers
 	requests  map[RequestID]*request
 	bySeq     map[uint64]*request
 	seq       uint64
@@ -168,7 +177,7 @@
 		return nil, err
 	}
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: now, boot: now,
-		classes: map[string]*class{}, plans: map[string]*Plan{}, backends: map[BackendID]*backend{},
+		classes: map[string]*class{}, plans: map[string]*Plan{}, backends: map[BackendID]*backend{}, fleets: map[string]*speakers{},
 		requests: map[RequestID]*request{}, bySeq: map[uint64]*request{},
 		customers: map[CustomerID]*customer{}, n: math.Inf(1), splitAt: now, sendRate: minEnded}
 	for _, c := range set.Classes {
@@ -238,7 +247,7 @@
 	t := &g.tiers[b2i(high)]
 	t.arrivals++
 	t.worth += worth
-	r := &request{id: ev.ID, seq: g.seq + 1, class: cl, cust: c, due: g.now + ev.Patience}
+	r := &request{id: ev.ID, seq: g.seq + 1, class: cl, cust: c, due: g.now + ev.Patience, protocol: ev.Protocol, fleet: g.fleets[ev.Protocol]}
 	b := g.choose(r)
 	var s *slot
 	if b != nil {
@@ -641,40 +650,52 @@
 		}
 		return false
 	})
+	for _, f := range g.fleets {
+		f.known, f.ready = 0, 0
+	}
+	for _, b := range g.order {
+		f := g.fleets[b.Protocol]
+		if f == nil {
+			f = &speakers{sendRate: minEnded}
+			g.fleets[b.Protocol] = f
+		}
+		f.known++
+		f.ready += b2i(b.State == Ready)
+	}
 }
 
 // coldToken keeps the sends to a cold backend to its warmth's part of what a warm one is sent, and lets one a
 // second through from all doors where nothing is sent. If every door does so, together they stay within its
 // present capacity, with the fall multiple as the margin. At most one send is saved up: none bursts in.
-func (g *Gateway) coldToken(b *backend) bool {
+func (g *Gateway) coldToken(f *speakers, b *backend) bool {
 	w := g.warmth(b)
 	if !b.cold {
 		return true
 	}
-	ready := 0.0
-	for _, o := range g.order {
-		ready += float64(b2i(o.State == Ready))
-	}
-	rate := max(g.sendRate, ready/float64(g.set.FrontDoors)) / min(ready, g.known())
+	ready := float64(f.ready)
+	rate := max(f.sendRate, ready/float64(g.set.FrontDoors)) / min(ready, f.keepsTo())
 	b.tokens = min(1, b.tokens+w*rate*(g.now-b.tokensAt).Seconds())
 	b.tokensAt = g.now
 	return b.tokens >= 1
 }
 
-// known is how many backends this door keeps to: of a few that it hears from every few seconds it learns
+// keepsTo is how many backends this door keeps to: of a few that it hears from every few seconds it learns
 // which are slow or silent, of a hundred it would not. As each door has its own order of them, all are used
 // alike.
-func (g *Gateway) known() float64 {
-	return max(knownLeast, g.sendRate*knownFor.Seconds())
+func (f *speakers) keepsTo() float64 {
+	return max(knownLeast, f.sendRate*knownFor.Seconds())
 }
 
 // choose picks the ready backend where a further attempt should be answered first: least attempts out times
 // its slowness, with silent ones costing more.
 func (g *Gateway) choose(r *request) *backend {
+	if r.fleet == nil {
+		return nil
+	}
 	var best *backend
-	least, seen, most := math.Inf(1), 0.0, g.known()
+	least, seen, most := math.Inf(1), 0.0, r.fleet.keepsTo()
 	for _, b := range g.order {
-		if seen >= most || b.State != Ready || g.now < b.holdUntil || !g.mayGo(r, b) || !g.coldToken(b) {
+		if seen >= most || b.State != Ready || g.now < b.holdUntil || !g.mayGo(r, b) || !g.coldToken(r.fleet, b) {
 			continue
 		}
 		owed := g.owes(b)
@@ -691,7 +712,7 @@
 // mayGo is rule 2 and good sense: not where the request was before, and, once it may have run, only inside
 // the group that drops its repeats and the time that the group remembers it.
 func (g *Gateway) mayGo(r *request, b *backend) bool {
-	if len(g.order) > 1 && slices.ContainsFunc(r.tries, func(t attempt) bool { return t.b == b }) {
+	if b.Protocol != r.protocol || r.fleet.known > 1 && slices.ContainsFunc(r.tries, func(t attempt) bool { return t.b == b }) {
 		return false
 	}
 	t, group := r.ran(), r.class.Group
@@ -720,6 +741,7 @@
 	b.out++
 	b.tokens--
 	g.sends++
+	r.fleet.sends++
 	g.spare = min(mostSpare, g.spare+spareShare)
 	r.cust.open++
 	g.act(Send{Request: r.id, Backend: b.ID})
@@ -850,6 +872,10 @@
 	g.act(SetTimer{After: second, Token: 0})
 	g.sendRate += 0.5 * (g.sends - g.sendRate)
 	g.sends = 0
+	for _, f := range g.fleets {
+		f.sendRate += 0.5 * (f.sends - f.sendRate)
+		f.sends = 0
+	}
 	if sorted := slices.Sorted(slices.Values(g.worths)); len(sorted) > 0 {
 		g.median = sorted[len(sorted)/2]
 	}
--- a/decision/gateway_test.go
+++ b/decision/gateway_test.go
@@ -562,7 +562,7 @@
 		low, high int
 	}{{2, 4, 8}, {1000, 60, 100}} {
 		r := newRig(t, testSettings(), fleet(100)...)
-		r.g.sendRate = c.rate
+		r.g.sendRate, r.g.fleets[""].sendRate = c.rate, c.rate
 		met := map[BackendID]bool{}
 		for i := range 400 {
 			id, as := r.ask("safe", "wide", CustomerID(i))
@@ -578,6 +578,66 @@
 	}
 }
 
+// A request goes only to backends that speak its protocol, also when it is made again, and what is sent over one
+// protocol says nothing of how much a cold backend of another may be sent.
+func TestRequestsKeepToTheirProtocol(t *testing.T) {
+	mixed := fleet(6)
+	for i := range mixed {
+		if i%3 == 0 {
+			mixed[i].Protocol = "other" // 1 and 4
+		}
+	}
+	r := newRig(t, testSettings(), mixed...)
+	ask := func(protocol string) (RequestID, []Send) {
+		r.next++
+		return r.next, sends(r.do(Request{ID: r.next, Customer: 1, Class: "safe", Plan: "wide", Units: 1, Patience: 6 * second, Spread: 2, Protocol: protocol}))
+	}
+	other := func(b BackendID) bool { return b == 1 || b == 4 }
+	for i := range 40 {
+		protocol := []string{"", "other"}[i%2]
+		id, as := ask(protocol)
+		for try := 0; len(as) > 0; try++ {
+			if other(as[0].Backend) != (protocol == "other") {
+				t.Fatalf("a request over %q was sent to %d", protocol, as[0].Backend)
+			}
+			as = sends(r.outcome(id, as[0].Backend, try, Broken))
+		}
+	}
+	if _, as := ask("unknown"); len(as) > 0 {
+		t.Errorf("sent to %v", as)
+	}
+	// The last of its protocol is tried again, as the only backend of all is.
+	r.do(BackendList{Kind: ListChanges, Backends: []BackendInfo{{ID: 4, State: Gone}}})
+	id, as := ask("other")
+	if again := sends(r.outcome(id, as[0].Backend, 0, Broken)); len(again) != 1 || again[0].Backend != 1 {
+		t.Errorf("the last backend of a protocol, again: %v", again)
+	}
+}
+
+// A cold backend is spared by what its own protocol sends.
+func TestColdBackendsAreSparedByProtocol(t *testing.T) {
+	s := testSettings()
+	backends := fleet(3)
+	backends[0].Protocol, backends[1].Protocol = "other", "other"
+	r := newRig(t, s, backends...)
+	r.g.sendRate, r.g.fleets[""].sendRate, r.g.fleets["other"].sendRate = 1020, 1000, 20
+	cold := backends[1]
+	cold.Started = r.now
+	r.do(BackendList{Kind: ListChanges, Backends: []BackendInfo{cold}})
+	got := 0
+	for i := range 40 { // two seconds of 20 a second
+		r.now += 50 * ms
+		r.next++
+		for _, a := range sends(r.do(Request{ID: r.next, Customer: CustomerID(i), Class: "safe", Plan: "wide", Units: 1, Patience: 6 * second, Spread: 2,
+			Protocol: "other"})) {
+			got += b2i(a.Backend == cold.ID) // none is answered, so the warm one gets dearer than the cold one
+		}
+	}
+	if got == 0 || got > 8 { // a warm one's share is 10 a second, and it has 0.2 to 0.36 of its capacity
+		t.Errorf("%d sends to the cold backend in 2 s, want 1 to 8", got)
+	}
+}
+
 // Never two attempts out: a deadline calls the last one off, an outcome alone leads to the next.
 func TestOneAttemptOutAtATime(t *testing.T) {
 	r := newRig(t, testSettings(), fleet(3)...)
@@ -636,7 +696,7 @@
 
 func TestColdBackendIsRampedUp(t *testing.T) {
 	r := newRig(t, testSettings(), fleet(3)...)
-	r.g.sendRate = 30
+	r.g.sendRate, r.g.fleets[""].sendRate = 30, 30
 	r.do(BackendList{Kind: ListChanges, Backends: []BackendInfo{{ID: 9, Started: r.now}}})
 	cold := 0
 	for i := range 60 { // a heavy second: 60 requests
--- a/door.go
+++ b/door.go
@@ -88,7 +88,8 @@
 	classes    map[string]decision.Class
 	plans      map[string]bool
 	driver     *drive.Driver
-	backends   *httpback.Backends
+	protocols  map[string]drive.Backends // by name; HTTP's is there once the options have been taken
+	backends   drive.Backends
 	mapper     Mapper
 	log        *slog.Logger
 	dial       func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -130,9 +131,9 @@
 		config.Seed = rand.Uint64()
 	}
 	d := &Door{config: config, classes: map[string]decision.Class{}, plans: map[string]bool{},
-		keepers: map[string]*keeper{},
-		log:     slog.New(slog.DiscardHandler),
-		badLog:  rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second},
+		keepers: map[string]*keeper{}, protocols: map[string]drive.Backends{},
+		log:    slog.New(slog.DiscardHandler),
+		badLog: rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second},
 		listLog: rate.Sometimes{First: 10, Interval: time.Second}}
 	d.mapper = d.PlatformRequest
 	for _, o := range options {
@@ -157,8 +158,12 @@
 			return nil, fmt.Errorf("%w: %w", ErrConfig, err)
 		}
 	}
-	d.backends = httpback.New(httpback.Config{Conns: config.BackendConns, Idle: config.IdleTimeout,
+	d.protocols[membership.ProtocolHTTP] = httpback.New(httpback.Config{Conns: config.BackendConns, Idle: config.IdleTimeout,
 		Connect: config.ConnectTimeout, LoadColumns: set.LoadColumns, Log: d.log, Dial: d.dial})
+	if d.protocols[config.Protocol] == nil {
+		return nil, fmt.Errorf("%w: Protocol is %q, which no option names", ErrConfig, config.Protocol)
+	}
+	d.backends = drive.NewMux(d.protocols)
 	life := core.New(decider, set.Classes, core.Limits{Open: config.MaxOpen, Attempts: set.MaxAttempts,
 		Remember: remember}, clock.Now())
 	d.driver = drive.New(clock, life, d.backends, set.CanCancel)
@@ -245,6 +250,11 @@
 	for _, err := range bad {
 		d.listLog.Do(func() { d.log.Warn("an entry of the list that makes no sense", "err", err) })
 	}
+	for i := range changes {
+		if changes[i].Protocol == "" {
+			changes[i].Protocol = d.config.Protocol
+		}
+	}
 	if len(changes) > 0 || kind == decision.ListSaved {
 		d.backends.Apply(changes)
 		news := decision.BackendList{Kind: kind}
@@ -298,47 +308,69 @@
 // ErrRefused, an ErrFailed or an ErrBadRequest, or, when ctx ends first, ctx's cause. What is out for a request
 // whose ctx has ended is called off at once.
 func (d *Door) Do(ctx context.Context, r Request) (*Answer, error) {
-	req, msg, err := d.check(&r)
+	msg, err := d.check(&r)
+	if err != nil {
+		return nil, err
+	}
+	body, attempts, err := d.relay(ctx, &r, msg)
 	if err != nil {
 		return nil, err
 	}
+	reply := body.(*httpback.Answer)
+	return &Answer{Body: reply.Body, ContentType: reply.ContentType, Attempts: attempts}, nil
+}
+
+// Relay is Do over the protocol of load, which only packages of this module make: what of r is HTTP's is not looked at. It
+// returns what the load's backends gave, also of an attempt that was answered with an error if the request failed by that.
+func (d *Door) Relay(ctx context.Context, r Request, load drive.Load) (reply any, err error) {
+	if err := d.fill(&r); err != nil {
+		return nil, err
+	}
+	reply, _, err = d.relay(ctx, &r, load)
+	return reply, err
+}
+
+// relay passes on a request that makes sense.
+func (d *Door) relay(ctx context.Context, r *Request, load drive.Load) (reply any, attempts int, err error) {
 	if ctx.Err() != nil {
-		return nil, left(ctx)
+		return nil, 0, left(ctx)
 	}
-	a, err := d.driver.Serve(ctx, req, r.Timeout-lastMomentMargin, msg)
+	req := decision.Request{ID: decision.RequestID(r.ID), Customer: decision.CustomerID(r.Customer), Class: r.Class, Plan: r.Plan,
+		Units: r.Units, Patience: r.Timeout - patienceMargin, FirstDoor: r.FirstDoor, Spread: r.Spread, Protocol: load.Protocol()}
+	a, err := d.driver.Serve(ctx, req, r.Timeout-lastMomentMargin, load)
 	if err != nil {
 		if known := notLetIn[err]; known != nil {
-			return nil, known
+			return nil, 0, known
 		}
-		return nil, err
+		return nil, 0, err
 	}
+	reply, attempts = a.Reply.Body, a.Attempts
 	switch a.Verdict {
 	case core.Served:
-		reply := a.Reply.Body.(*httpback.Answer)
-		return &Answer{Body: reply.Body, ContentType: reply.ContentType, Attempts: a.Attempts}, nil
+		return reply, attempts, nil
 	case core.Refused:
-		return nil, &RefusedError{RetryAfter: a.RetryAfter}
+		err = &RefusedError{RetryAfter: a.RetryAfter}
 	case core.Late:
 		d.lateLog.Do(func() { d.log.Warn("answered at the last moment", "class", r.Class, "timeout", r.Timeout) })
-		return nil, ErrLate
+		err = ErrLate
 	case core.Left:
-		return nil, left(ctx)
+		err = left(ctx)
 	case core.Aborted:
-		return nil, ErrAborted
+		err = ErrAborted
+	default:
+		err = ErrFailed
 	}
-	return nil, ErrFailed
+	return reply, attempts, err
 }
 
 func left(ctx context.Context) error {
 	return fmt.Errorf("pumicecroft: the caller left: %w", context.Cause(ctx))
 }
 
-// check fills in a request's defaults and tells what is wrong with it. What it lets through is safe to pass to
-// the decision module and to backends.
-func (d *Door) check(r *Request) (decision.Request, *httpback.Request, error) {
-	bad := func(what string, value any) (decision.Request, *httpback.Request, error) {
-		return decision.Request{}, nil, badRequest(what, value)
-	}
+// fill fills in a request's defaults and tells what is wrong with it. What it lets through is safe to pass to the
+// decision module.
+func (d *Door) fill(r *Request) error {
+	bad := badRequest
 	class, ok := d.classes[r.Class]
 	if !ok {
 		return bad("class", r.Class)
@@ -371,6 +403,15 @@
 	if r.ID == 0 && !r.hasID {
 		r.ID = rand.Uint64()
 	}
+	return nil
+}
+
+// check is fill, and makes of the request what goes on over HTTP/1.1: what it lets through is safe to pass to backends.
+func (d *Door) check(r *Request) (*httpback.Request, error) {
+	if err := d.fill(r); err != nil {
+		return nil, err
+	}
+	class := d.classes[r.Class]
 	if r.Method == "" {
 		r.Method = method(class)
 	}
@@ -381,19 +422,17 @@
 		r.Host = "pumicecroft"
 	}
 	if r.Method == "GET" && len(r.Body) > 0 {
-		return bad("a GET with a body of", len(r.Body))
+		return nil, badRequest("a GET with a body of", len(r.Body))
 	}
 	if len(r.Body) > MaxBody {
-		return decision.Request{}, nil, ErrTooLarge
+		return nil, ErrTooLarge
 	}
 	msg := &httpback.Request{Method: r.Method, Target: r.Target, Host: r.Host, ID: r.ID, HasID: true, Key: r.Key,
 		ContentType: r.ContentType, Body: r.Body}
 	if err := msg.Check(); err != nil {
-		return decision.Request{}, nil, fmt.Errorf("%w: %w", ErrBadRequest, err)
+		return nil, fmt.Errorf("%w: %w", ErrBadRequest, err)
 	}
-	return decision.Request{ID: decision.RequestID(r.ID), Customer: decision.CustomerID(r.Customer), Class: r.Class,
-		Plan: r.Plan, Units: r.Units, Patience: r.Timeout - patienceMargin, FirstDoor: r.FirstDoor,
-		Spread: r.Spread}, msg, nil
+	return msg, nil
 }
 
 // method is the method that a class's requests have on the platform.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -122,6 +122,7 @@
 	due    time.Duration // attempts end by then
 	last   time.Duration // and this is when the request is answered if nothing else has been
 	ended  bool
+	begun  int // the attempt whose answer is being passed on, counted from 1; 0: none
 	out    int // attempts that have not ended
 	tries  []try
 	clock  timer // at due, then at last
@@ -254,13 +255,23 @@
 	return c.out
 }
 
-// Began tells that an attempt's answer has begun to be passed on: from now on it belongs to the client.
-func (c *Core) Began(now time.Duration, id decision.RequestID, attempt int) []Effect {
+// Began asks whether an attempt's answer may begin to be passed on before it is whole. If so the request belongs to that
+// attempt: other attempts are called off, no further one is made, and the attempt's end is the request's. It may not once
+// the request has ended, the attempt is called off, or another one's answer has begun.
+func (c *Core) Began(now time.Duration, id decision.RequestID, attempt int) (effects []Effect, may bool) {
 	c.begin(now)
-	if k := c.calls[id]; k != nil && attempt >= 0 && attempt < len(k.tries) && k.tries[attempt].open {
-		c.handle(decision.AnswerStarted{Request: id, Attempt: attempt})
+	k := c.calls[id]
+	if k == nil || k.ended || attempt < 0 || attempt >= len(k.tries) || !k.tries[attempt].open || k.tries[attempt].off || k.begun > 0 {
+		return c.out, false
 	}
-	return c.out
+	k.begun = attempt + 1
+	c.handle(decision.AnswerStarted{Request: id, Attempt: attempt})
+	for i := range k.tries {
+		if i != attempt {
+			c.callOff(k, i, false)
+		}
+	}
+	return c.out, !k.ended && !k.tries[attempt].off // the decision module may have ended it
 }
 
 // Ended tells how an attempt ended. The first good answer of a request is served. A second word on one attempt
@@ -274,8 +285,14 @@
 	t := &k.tries[attempt]
 	t.open, t.result = false, o.Result
 	k.out--
-	if o.Result == decision.Answered {
+	switch mine := k.begun == attempt+1; {
+	case k.begun > 0 && !mine: // it was called off for the one that has begun
+	case o.Result == decision.Answered:
 		c.finish(k, Effect{Verdict: Served, Attempt: attempt})
+	case mine && o.Result == decision.TimedOut:
+		c.finish(k, Effect{Verdict: Late})
+	case mine: // part of its answer is with the client: there is nothing to make again
+		c.finish(k, Effect{Verdict: Failed})
 	}
 	c.handle(decision.Outcome{Request: id, Backend: t.backend, Attempt: attempt, Result: o.Result,
 		Took: c.now - t.sent, Final: k.ended, HasUse: o.HasUse, Use: o.Use, Units: o.Units, Load: o.Load})
@@ -404,7 +421,7 @@
 	}
 	n := len(k.tries)
 	t := try{backend: a.Backend, sent: c.now, due: k.due}
-	if k.ended || n >= c.limits.Attempts {
+	if k.ended || k.begun > 0 || n >= c.limits.Attempts {
 		t.result = decision.NotSent
 		k.tries = append(k.tries, t)
 		c.events = append(c.events, decision.Outcome{Request: k.id, Backend: a.Backend, Attempt: n,
@@ -439,6 +456,9 @@
 		c.strays++
 		return
 	}
+	if k.begun > 0 { // what is half with the client is not refused
+		e = Effect{Verdict: Failed}
+	}
 	c.finish(k, e)
 	c.forget(k)
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -332,10 +332,87 @@
 	}
 	r.want("probed", r.c.Probed(r.now, decision.ProbeResult{Backend: 3}), "")
 	r.heardLast("ProbeResult")
-	r.c.Began(r.now, 5, 0)
+	r.began("of none", 5, 0, false, "")
 	r.heardLast("ProbeResult")
-	r.on = sendOn(nil)
+}
+
+func (r *rig) began(what string, id decision.RequestID, attempt int, may bool, want string) {
+	r.t.Helper()
+	es, got := r.c.Began(r.now, id, attempt)
+	r.want(what, es, want)
+	if got != may {
+		r.t.Errorf("%s: the answer may begin: %v, want %v", what, got, may)
+	}
+}
+
+// twice sends each request to backend 7 and, at the module's timer, beside that to 8.
+func twice(ev decision.Event) []decision.Action {
+	switch ev := ev.(type) {
+	case decision.Request:
+		return []decision.Action{decision.Send{Request: ev.ID, Backend: 7}, decision.SetTimer{After: 100 * ms, Token: 1, Request: ev.ID}}
+	case decision.Timer:
+		return []decision.Action{decision.Send{Request: 1, Backend: 8}}
+	}
+	return nil
+}
+
+// An answer that has begun binds its request to the attempt: others are called off and may not begin theirs, their good
+// end changes nothing, and none is made any more.
+func TestABegunAnswerBinds(t *testing.T) {
+	r := newRig(t, Limits{}, twice)
 	r.arrive(1, "safe")
-	r.c.Began(r.now, 1, 0)
+	r.want("a second attempt", r.c.Tick(r.at(100*ms)), "start 1/1 at 8 by 960ms")
+	r.began("the second one's", 1, 1, true, "calloff 1/0")
 	r.heardLast("AnswerStarted")
+	r.began("again", 1, 1, false, "")
+	r.began("the first one's", 1, 0, false, "")
+	r.want("the first was answered", r.c.Ended(r.at(120*ms), 1, 0, Outcome{Result: decision.Answered}), "")
+	r.want("the end", r.c.Ended(r.at(130*ms), 1, 1, Outcome{Result: decision.Answered}), "final 1 served by 1")
+	r.empty()
+}
+
+// The end of an attempt whose answer has begun is the request's: it is made no more, whatever its class, and never refused.
+func TestABegunAnswerThatBreaks(t *testing.T) {
+	for result, want := range map[decision.Result]string{decision.Broken: "final 1 failed", decision.Refused: "final 1 failed",
+		decision.AnsweredErr: "final 1 failed", decision.TimedOut: "final 1 late"} {
+		again := sendOn(func(ev decision.Event) []decision.Action {
+			if o, ok := ev.(decision.Outcome); ok && o.Attempt == 0 {
+				return []decision.Action{decision.Send{Request: o.Request, Backend: 8}, decision.Refuse{Request: o.Request}}
+			}
+			return nil
+		})
+		r := newRig(t, Limits{}, again)
+		r.arrive(1, "safe")
+		r.began("it", 1, 0, true, "")
+		r.want(want, r.c.Ended(r.at(30*ms), 1, 0, Outcome{Result: result}), want)
+		r.empty()
+	}
+	r := newRig(t, Limits{}, sendOn(func(ev decision.Event) []decision.Action {
+		if _, ok := ev.(decision.AnswerStarted); ok {
+			return []decision.Action{decision.Send{Request: 1, Backend: 8}, decision.Refuse{Request: 1}}
+		}
+		return nil
+	}))
+	r.arrive(1, "safe")
+	r.began("a module that refuses what it is told has begun", 1, 0, false, "final 1 failed")
+}
+
+// An answer may not begin once its attempt is called off or its request has ended.
+func TestTooLateToBegin(t *testing.T) {
+	r := newRig(t, Limits{}, sendOn(nil))
+	r.arrive(1, "safe")
+	r.at(960 * ms)
+	r.began("when its time is up", 1, 0, false, "calloff 1/0 late")
+	r.want("the last moment", r.c.Tick(r.at(980*ms)), "final 1 late")
+	r.began("after the end", 1, 0, false, "")
+}
+
+// A stream in flight ends with its time, and when its client leaves.
+func TestABegunAnswerRunsOut(t *testing.T) {
+	r := newRig(t, Limits{}, sendOn(nil))
+	r.arrive(1, "safe")
+	r.began("it", 1, 0, true, "")
+	r.want("its time", r.c.Tick(r.at(960*ms)), "calloff 1/0 late")
+	r.want("its end", r.c.Ended(r.at(961*ms), 1, 0, Outcome{Result: decision.TimedOut}), "final 1 late")
+	r.empty()
 }
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -33,6 +33,7 @@
 	offs     []bool
 	sends    int // that the decision module asked for
 	outcomes []int
+	begun    int // the attempt whose answer has begun, counted from 1
 }
 
 type world struct {
@@ -104,6 +105,9 @@
 		s := w.reqs[e.Request]
 		switch e.Kind {
 		case Start:
+			if s.begun > 0 {
+				w.t.Fatalf("a start after an answer has begun: %+v", e)
+			}
 			if s.finals > 0 {
 				w.t.Fatalf("a start after the final answer: %+v", e)
 			}
@@ -124,6 +128,9 @@
 			if s.finals++; s.finals > 1 {
 				w.t.Fatalf("a second final answer: %+v", e)
 			}
+			if s.begun > 0 && (e.Verdict == Refused || e.Verdict == Served && e.Attempt != s.begun-1) {
+				w.t.Fatalf("%+v, and the answer of attempt %d has begun", e, s.begun-1)
+			}
 		}
 	}
 }
@@ -138,7 +145,7 @@
 func (w *world) step() {
 	w.depth = 0
 	w.now += time.Duration(rapid.IntRange(0, 300).Draw(w.t, "pass")) * ms
-	switch rapid.IntRange(0, 7).Draw(w.t, "event") {
+	switch rapid.IntRange(0, 8).Draw(w.t, "event") {
 	case 0, 1, 2:
 		id := decision.RequestID(len(w.order) + 1)
 		if len(w.order) > 0 && rapid.IntRange(0, 9).Draw(w.t, "again") == 0 {
@@ -167,6 +174,19 @@
 		if s := w.reqs[id]; s != nil && len(s.starts) > 0 {
 			w.end(id, rapid.IntRange(0, len(s.starts)-1).Draw(w.t, "attempt"))
 		}
+	case 8:
+		id := w.anID()
+		if s := w.reqs[id]; s != nil && len(s.starts) > 0 {
+			n := rapid.IntRange(0, len(s.starts)-1).Draw(w.t, "begins")
+			es, may := w.c.Began(w.now, id, n)
+			w.see(es)
+			if may && (s.begun > 0 || !s.starts[n] || s.offs[n] || s.finals > 0) {
+				w.t.Fatalf("the answer of attempt %d may begin: %+v", n, s)
+			}
+			if may || len(es) > 0 && w.c.calls[id] != nil && w.c.calls[id].begun > 0 {
+				s.begun = w.c.calls[id].begun
+			}
+		}
 	case 5:
 		if id := w.anID(); w.reqs[id] != nil {
 			w.see(w.c.Leave(w.now, w.reqs[id], id))
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -13,6 +13,7 @@
 
 	"pumicecroft/decision"
 	"pumicecroft/internal/core"
+	"pumicecroft/membership"
 )
 
 // origin is how far before the driver's start its clock begins, so that a backend's start before ours is still a
@@ -52,6 +53,18 @@
 	Probe(id decision.BackendID, timeout time.Duration) decision.ProbeResult
 }
 
+// Backends is a Carrier that is told of the backends which it is to reach.
+type Backends interface {
+	Carrier
+	// Apply takes in what has changed; it holds for every attempt that begins after it returns.
+	Apply(changes []membership.Change)
+	// Close lets go of all connections. Attempts that are out end by themselves.
+	Close()
+}
+
+// Load is what an attempt carries, over the protocol that it names.
+type Load interface{ Protocol() string }
+
 // Attempt is one attempt that a Carrier makes.
 type Attempt struct {
 	Backend decision.BackendID
@@ -118,16 +131,32 @@
 	return a.off
 }
 
+// Begin asks whether the attempt's answer may begin to be passed on before it is whole; see core.Core.Began. A carrier
+// calls it at most once, without a lock that CallOff's stop takes, and ends an attempt that may not as called off.
+func (a *Attempt) Begin() bool {
+	k := a.call
+	if k == nil { // it belongs to no request
+		return a.Off() == nil
+	}
+	d := k.driver
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	effects, may := d.core.Began(d.clock.Now(), k.id, a.number)
+	d.carryOut(effects)
+	return may
+}
+
 // Answer is the one final answer to a request.
 type Answer struct {
 	Verdict    core.Verdict
 	RetryAfter time.Duration // of a refusal; 0: no advice
-	Reply      Reply         // of a served request
+	Reply      Reply         // of a served request, and of a failed one whose last attempt was answered with an error
 	Attempts   int           // that were made
 }
 
 // call is a request that is being served.
 type call struct {
+	driver  *Driver
 	id      decision.RequestID
 	load    any
 	inline  bool      // the serving goroutine makes the attempts
@@ -183,7 +212,7 @@
 // the most. When ctx ends first, the request ends as Left, and what is out for it is called off. An error means
 // that the request was not let in.
 func (d *Driver) Serve(ctx context.Context, req decision.Request, last time.Duration, load any) (Answer, error) {
-	k := &call{id: req.ID, load: load, inline: d.inline}
+	k := &call{driver: d, id: req.ID, load: load, inline: d.inline}
 	k.tries, k.todo = k.room[:0], k.work[:0]
 	d.mu.Lock()
 	effects, err := d.core.Arrive(d.clock.Now(), k, req, last)
@@ -236,8 +265,8 @@
 // end tells of an attempt's end; it wants the lock.
 func (d *Driver) end(a *Attempt, r Reply) {
 	k := a.call
-	if !k.done && r.Result == decision.Answered {
-		k.answer.Reply = r // kept if the core says that it is served
+	if !k.done {
+		k.answer.Reply = r // kept if the core makes it the answer
 	}
 	d.carryOut(d.core.Ended(d.clock.Now(), k.id, a.number, r.Outcome))
 }
@@ -262,7 +291,7 @@
 		case core.Final:
 			k := e.Tag.(*call)
 			k.done, k.answer.Verdict, k.answer.RetryAfter = true, e.Verdict, e.RetryAfter
-			if e.Verdict != core.Served {
+			if e.Verdict != core.Served && (e.Verdict != core.Failed || k.answer.Reply.Result != decision.AnsweredErr) {
 				k.answer.Reply = Reply{}
 			}
 			k.rouse()
--- /dev/null
+++ b/internal/drive/mux_test.go
@@ -0,0 +1,84 @@
+package drive
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/membership"
+)
+
+// spoken notes what one protocol's backends are told.
+type spoken struct {
+	name string
+	told *[]string
+}
+
+func (s spoken) Carry(*Attempt) Reply {
+	*s.told = append(*s.told, s.name+" carries")
+	return result(decision.Answered)
+}
+
+func (s spoken) Probe(id decision.BackendID, _ time.Duration) decision.ProbeResult {
+	*s.told = append(*s.told, fmt.Sprintf("%s probes %d", s.name, id))
+	return decision.ProbeResult{Backend: id}
+}
+
+func (s spoken) Apply(cs []membership.Change) {
+	for _, c := range cs {
+		*s.told = append(*s.told, fmt.Sprintf("%s: %d is in state %d", s.name, c.ID, c.State))
+	}
+}
+
+func (s spoken) Close() { *s.told = append(*s.told, s.name+" closes") }
+
+type loadOf string
+
+func (l loadOf) Protocol() string { return string(l) }
+
+// Attempts, probes and news go to the one that speaks the protocol, and a backend that goes over to another protocol is
+// gone from the first.
+func TestMux(t *testing.T) {
+	var told []string
+	m := NewMux(map[string]Backends{"a": spoken{"a", &told}, "b": spoken{"b", &told}})
+	step := func(want string, do func()) {
+		t.Helper()
+		told = nil
+		do()
+		if got := strings.Join(told, "; "); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+	change := func(id decision.BackendID, protocol string, state decision.BackendState) func() {
+		return func() {
+			m.Apply([]membership.Change{{BackendInfo: decision.BackendInfo{ID: id, Protocol: protocol, State: state}}})
+		}
+	}
+	step("a: 1 is in state 0", change(1, "a", decision.Ready))
+	step("b: 2 is in state 0", change(2, "b", decision.Ready))
+	step("b probes 2", func() { m.Probe(2, time.Second) })
+	step("a carries", func() { m.Carry(NewAttempt(1, time.Now(), loadOf("a"))) })
+	step("b carries", func() { m.Carry(NewAttempt(2, time.Now(), loadOf("b"))) })
+	step("", func() {
+		if r := m.Carry(NewAttempt(2, time.Now(), loadOf("c"))); r.Result != decision.NotSent {
+			t.Errorf("an attempt over a protocol that nobody speaks: %v", r.Result)
+		}
+		if p := m.Probe(3, time.Second); p.Result != decision.NotSent {
+			t.Errorf("a probe of a backend that is not known: %v", p.Result)
+		}
+	})
+	step("", change(3, "c", decision.Ready))
+	told = nil
+	change(1, "b", decision.Ready)()
+	if got := strings.Join(told, "; "); got != "a: 1 is in state 2; b: 1 is in state 0" && got != "b: 1 is in state 0; a: 1 is in state 2" {
+		t.Errorf("a backend that goes over to another protocol: %q", got)
+	}
+	change(1, "b", decision.Gone)()
+	change(2, "b", decision.Gone)()
+	change(3, "c", decision.Gone)()
+	if len(m.speaks) != 0 {
+		t.Errorf("%v is kept of backends that are gone", m.speaks)
+	}
+}
--- a/internal/grpcback/backends.go
+++ b/internal/grpcback/backends.go
@@ -40,6 +40,9 @@
 	Body     []byte  // one message with its prefix
 }
 
+// Protocol is what it goes over.
+func (r *Request) Protocol() string { return membership.ProtocolGRPC }
+
 // Answer is a backend's answer.
 type Answer struct {
 	Code            grpcwire.Code
@@ -59,7 +62,7 @@
 	ran  sync.WaitGroup // readers
 }
 
-var _ drive.Carrier = (*Backends)(nil)
+var _ drive.Backends = (*Backends)(nil)
 
 // backend is one that is known. Its fields are guarded by Backends.mu.
 type backend struct {
--- a/internal/httpback/backends.go
+++ b/internal/httpback/backends.go
@@ -49,6 +49,9 @@
 	Body        []byte
 }
 
+// Protocol is what it goes over.
+func (m *Request) Protocol() string { return membership.ProtocolHTTP }
+
 // Answer is what a backend answered.
 type Answer struct {
 	ContentType string
@@ -73,7 +76,7 @@
 	byID map[decision.BackendID]*backend // until it is gone
 }
 
-var _ drive.Carrier = (*Backends)(nil)
+var _ drive.Backends = (*Backends)(nil)
 
 // columnNames are the header's names for the settings' load figures.
 var columnNames = map[string]string{"concurrent": "inflight", "depth": "queue", "load_share": "util",
--- a/internal/operator/members.go
+++ b/internal/operator/members.go
@@ -114,6 +114,7 @@
 		v.HealthOnly = e.yes("health_only", false)
 		m := &v.Mapping
 		m.Zone, m.Cell, m.Model, m.Started = e.text("zone", false), e.text("cell", false), e.text("model", false), e.text("started", false)
+		m.Protocol = e.text("protocol", false)
 		m.Name = e.text("node_name", false)
 		m.ServeWarning = e.oneOf("warning", "drain", "drain", "serve") == 1
 		for _, class := range f.Door.Settings.Classes { // a repeat to a backend that does not drop it runs twice
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -162,7 +162,8 @@
 	f.Backends.Whole = true
 	for _, s := range top.list("backend") {
 		n := membership.Node{Name: s.text("name", true), Addr: s.text("address", true), Zone: s.text("zone", false),
-			Kind: s.text("model", false), Cell: s.whole("cell", 0, 0, math.MaxInt32), Weight: s.number("weight", 1, 0, any_)}
+			Kind: s.text("model", false), Cell: s.whole("cell", 0, 0, math.MaxInt32), Weight: s.number("weight", 1, 0, any_),
+			Protocol: []string{"", membership.ProtocolHTTP, membership.ProtocolGRPC}[s.oneOf("protocol", "", "", membership.ProtocolHTTP, membership.ProtocolGRPC)]}
 		names(d, seen, s, n.Name)
 		if n.Addr != "" {
 			checkAddress(d, s, "address", n.Addr)
--- a/internal/prepared/prepared.go
+++ b/internal/prepared/prepared.go
@@ -56,6 +56,7 @@
 	Weight   float64   `json:"weight"`
 	Started  time.Time `json:"started,omitzero"`
 	Note     string    `json:"note,omitempty"`
+	Protocol string    `json:"protocol,omitempty"`
 }
 
 // Path is where a source's list is kept in a directory.
@@ -66,7 +67,7 @@
 func Write(dir, source string, nodes []membership.Node, at time.Time) error {
 	b := body{At: at.Round(0)}
 	for _, n := range nodes {
-		b.Nodes = append(b.Nodes, node{n.Name, n.Addr, n.Zone, n.Kind, n.Cell, n.State != decision.Ready, n.Weight, n.Started.Round(0), n.Note})
+		b.Nodes = append(b.Nodes, node{n.Name, n.Addr, n.Zone, n.Kind, n.Cell, n.State != decision.Ready, n.Weight, n.Started.Round(0), n.Note, n.Protocol})
 	}
 	rest, err := json.Marshal(b)
 	if err != nil {
@@ -133,7 +134,8 @@
 		return bad(fmt.Errorf("%w: %w", ErrTorn, err))
 	}
 	for _, n := range b.Nodes {
-		m := membership.Node{Name: n.Name, Addr: n.Addr, Zone: n.Zone, Kind: n.Kind, Cell: n.Cell, Weight: n.Weight, Started: n.Started, Note: n.Note}
+		m := membership.Node{Name: n.Name, Addr: n.Addr, Zone: n.Zone, Kind: n.Kind, Cell: n.Cell, Weight: n.Weight, Started: n.Started, Note: n.Note,
+			Protocol: n.Protocol}
 		if n.Draining {
 			m.State = decision.Draining
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -39,7 +39,7 @@
 // Mapping says where a node's attributes stand. A name is a key of the service's meta; "node:KEY" is one of the node's
 // meta, and "datacenter" the datacenter. Empty: there is none.
 type Mapping struct {
-	Zone, Cell, Model string
+	Zone, Cell, Model, Protocol string
 	// Name holds what the node is called, so that other sources can mean the same one. Without it, where it is empty and
 	// where another has it too, that is NODE/ID.
 	Name string
@@ -166,6 +166,7 @@
 	r.called = b.look(b.mapping.Name, e)
 	n := &r.node
 	n.Name, n.Addr, n.Zone, n.Kind = name, e.Addr, b.look(b.mapping.Zone, e), b.look(b.mapping.Model, e)
+	n.Protocol = b.look(b.mapping.Protocol, e)
 	n.Cell = cellOf(b.look(b.mapping.Cell, e), name)
 	n.State, n.Weight, n.Note = b.judge(e)
 	return nil
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -12,17 +12,25 @@
 
 // Node is one backend.
 type Node struct {
-	Name    string // the same for as long as this is the same machine, whatever its address
-	Addr    string // host:port to connect to; may be empty of a node that is gone
-	Zone    string
-	Kind    string // the model of the machine
-	Cell    int    // backends of one cell drop each other's repeats
-	State   decision.BackendState
-	Weight  float64
-	Started time.Time // when its process last started, or was registered; the zero time: long ago
-	Note    string    // why its source says so, for people
+	Name string // the same for as long as this is the same machine, whatever its address
+	Addr string // host:port to connect to; may be empty of a node that is gone
+	Zone string
+	Kind string // the model of the machine
+	// Protocol is what it speaks: ProtocolHTTP, ProtocolGRPC; empty: what the Door takes it to be.
+	Protocol string
+	Cell     int // backends of one cell drop each other's repeats
+	State    decision.BackendState
+	Weight   float64
+	Started  time.Time // when its process last started, or was registered; the zero time: long ago
+	Note     string    // why its source says so, for people
 }
 
+// The protocols that a node may speak.
+const (
+	ProtocolHTTP = "http"
+	ProtocolGRPC = "grpc"
+)
+
 // List is news of the nodes.
 type List struct {
 	Whole bool // these are all nodes, and what is missing is gone; else only these have changed
--- a/membership/table.go
+++ b/membership/table.go
@@ -550,7 +550,7 @@
 // emit appends a change if there is one.
 func (t *Table) emit(m *member, n Node, started time.Duration) {
 	c := Change{Name: m.name, Addr: n.Addr, BackendInfo: decision.BackendInfo{ID: m.id, State: decision.Ready, Zone: n.Zone,
-		Kind: n.Kind, Cell: n.Cell, Started: started, Weight: n.Weight}}
+		Kind: n.Kind, Cell: n.Cell, Started: started, Weight: n.Weight, Protocol: n.Protocol}}
 	if m.state != Ready {
 		c.State = decision.Draining
 	}
@@ -558,7 +558,7 @@
 	if known && c.BackendInfo == m.told.BackendInfo && c.Addr == m.told.Addr {
 		return
 	}
-	c.Moved = known && (c.Addr != m.told.Addr || c.Started != m.told.Started)
+	c.Moved = known && (c.Addr != m.told.Addr || c.Started != m.told.Started || c.Protocol != m.told.Protocol)
 	m.told = c
 	t.out = append(t.out, c)
 }
