--- a/conformance/conformance.go
+++ b/conformance/conformance.go
@@ -24,15 +24,20 @@
 
 // Front is a front door that serves.
 type Front interface {
-	// Addr is where it is asked, over HTTP/1.1.
+	// Addr is where it is asked.
 	Addr() string
 	// Stop ends it as planned restarts do: it returns when all that was taken has its answer.
 	Stop() error
 }
 
-// Starter starts a front from the text of a platform's configuration. It is up when Start returns, and is stopped
-// at the end of the test if it was not before.
-type Starter func(t testing.TB, config string) Front
+// Starter starts fronts of one kind.
+type Starter struct {
+	// Start starts one from the text of a platform's configuration. It is up when Start returns, and is stopped at the end
+	// of the test if it was not before.
+	Start func(t testing.TB, config string) Front
+	// GRPC says that its clients and backends speak gRPC. The cases are the same; what is asked goes as DoGRPC has it.
+	GRPC bool
+}
 
 // Transcript holds what the cases tell, by case.
 type Transcript struct {
@@ -85,6 +90,7 @@
 // rig is one case's deployment.
 type rig struct {
 	t         *testing.T
+	start     Starter
 	front     Front
 	ledger    *standin.Ledger
 	discovery *standin.Discovery
@@ -94,14 +100,17 @@
 	mu        sync.Mutex
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T, start Starter) *rig {
 	t.Helper()
 	d, err := standin.StartDiscovery()
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, ledger: &standin.Ledger{}, discovery: d, lastID: 0x5ca1ab1e00000000,
+	r := &rig{t: t, start: start, ledger: &standin.Ledger{}, discovery: d, lastID: 0x5ca1ab1e00000000,
 		transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}}
+	if start.GRPC {
+		r.transport = standin.GRPCTransport()
+	}
 	t.Cleanup(func() {
 		r.transport.CloseIdleConnections()
 		for _, b := range r.backends {
@@ -116,7 +125,7 @@
 func (r *rig) backend(cell *standin.Cell, change func(*standin.BackendConfig)) *standin.Backend {
 	r.t.Helper()
 	c := standin.BackendConfig{Name: fmt.Sprintf("b%d", len(r.backends)), Zone: "z", Kind: "k", Cell: cell,
-		Ledger: r.ledger, Keyed: func(class string) bool { return class != "look" }}
+		Ledger: r.ledger, Keyed: func(class string) bool { return class != "look" }, GRPC: r.start.GRPC}
 	if change != nil {
 		change(&c)
 	}
@@ -166,12 +175,18 @@
 }
 
 // start starts the case's front.
-func (r *rig) start(start Starter, f figures) *rig {
+func (r *rig) serve(f figures) *rig {
 	r.t.Helper()
-	r.front = start(r.t, r.config(f))
+	r.front = r.another(f)
 	return r
 }
 
+// another starts a further front of the case's.
+func (r *rig) another(f figures) Front {
+	r.t.Helper()
+	return r.start.Start(r.t, r.config(f))
+}
+
 // ask is a request of a class with an id of its own.
 func (r *rig) ask(class string) standin.Ask {
 	r.mu.Lock()
@@ -184,8 +199,14 @@
 	return a
 }
 
-func (r *rig) do(a standin.Ask) standin.Reply {
-	return a.Do(r.t.Context(), r.transport, r.front.Addr())
+func (r *rig) do(a standin.Ask) standin.Reply { return r.doAt(r.t.Context(), a, r.front) }
+
+// doAt asks one of several fronts.
+func (r *rig) doAt(ctx context.Context, a standin.Ask, f Front) standin.Reply {
+	if r.start.GRPC {
+		return a.DoGRPC(ctx, r.transport, f.Addr())
+	}
+	return a.Do(ctx, r.transport, f.Addr())
 }
 
 // Run runs all cases and gives the transcript, once all have ended.
@@ -237,13 +258,13 @@
 }
 
 func oneOutcome(t *testing.T, start Starter, tr *Transcript, name string, act standin.Act, cells []int, class string) {
-	r := newRig(t)
+	r := newRig(t, start)
 	memories := []*standin.Cell{cell(0), cell(1)}
 	once := standin.Once(act)
 	for _, n := range cells {
 		r.backend(memories[n], func(c *standin.BackendConfig) { c.Act = once })
 	}
-	r.start(start, figures{})
+	r.serve(figures{})
 	a := r.ask(class)
 	if act == standin.Hang || act == standin.HangUnrun {
 		a.Timeout = short
@@ -283,10 +304,10 @@
 	for _, health := range []string{"Terminating", "Gone"} {
 		t.Run(health, func(t *testing.T) {
 			t.Parallel()
-			r := newRig(t)
+			r := newRig(t, start)
 			r.backend(cell(0), nil)
 			r.backend(cell(0), nil)
-			r.start(start, figures{})
+			r.serve(figures{})
 			const before, grace, after = 300 * time.Millisecond, 2 * time.Second, 300 * time.Millisecond
 			begun := time.Now()
 			var asking sync.WaitGroup
@@ -324,7 +345,7 @@
 	// What a draining backend holds ends well.
 	t.Run("held", func(t *testing.T) {
 		t.Parallel()
-		r := newRig(t)
+		r := newRig(t, start)
 		goOn := make(chan bool)
 		r.backend(cell(0), func(c *standin.BackendConfig) {
 			c.Act = func(a standin.Attempt) standin.Act {
@@ -334,7 +355,7 @@
 				return standin.Work
 			}
 		})
-		r.start(start, figures{})
+		r.serve(figures{})
 		held := make(chan standin.Reply, 1)
 		a := r.ask("pay")
 		a.Body = "hold"
@@ -359,7 +380,7 @@
 // coldBackend is rule 4: a backend that has just started, beside warm ones under load, must not be sent so much
 // that it falls.
 func coldBackend(t *testing.T, start Starter, tr *Transcript) {
-	r := newRig(t)
+	r := newRig(t, start)
 	limits := func(c *standin.BackendConfig) {
 		c.Capacity, c.Work = 400, func(string) time.Duration { return 10 * time.Millisecond }
 		c.ColdFrom, c.WarmWithin, c.FallMultiple, c.FallFor = 0.2, 6*time.Second, 0.15, 500*time.Millisecond
@@ -367,7 +388,7 @@
 	for range 3 {
 		r.backend(cell(0), limits)
 	}
-	r.start(start, figures{})
+	r.serve(figures{})
 	cold := r.backend(cell(0), func(c *standin.BackendConfig) { limits(c); c.Cold = true })
 	// The load is light, some 75 a second for each backend that can do 400, and the cold one falls at 0.15 times what
 	// it can do: its share of what a warm one gets stays well under that, and as much as a warm one gets does not.
@@ -402,9 +423,9 @@
 // quota: what a customer asks beyond its plan is refused at once, with a word on when to come back, and costs no
 // backend anything.
 func quota(t *testing.T, start Starter, tr *Transcript) {
-	r := newRig(t)
+	r := newRig(t, start)
 	r.backend(cell(0), nil)
-	r.start(start, figures{plans: usualPlans + `,{"name":"tiny","units_per_s":0.01,"burst":10,"value_factor":1}`})
+	r.serve(figures{plans: usualPlans + `,{"name":"tiny","units_per_s":0.01,"burst":10,"value_factor":1}`})
 	kinds := ""
 	for range 20 {
 		a := r.ask("look")
@@ -439,13 +460,13 @@
 	const rate, burst, slack = 20.0, 30.0, 3.0
 	plans := fmt.Sprintf(`{"name":"shop","units_per_s":%v,"burst":%v,"value_factor":1,"ceiling_rate":%v,"never_over_depth":%v,"cap_slack":%v}`,
 		1000, 1000, rate, burst, slack)
-	r := newRig(t)
+	r := newRig(t, start)
 	for range 2 {
 		r.backend(cell(0), nil)
 	}
 	var fronts []Front
 	for me := range 2 {
-		fronts = append(fronts, start(t, r.config(figures{doors: 2, me: me, plans: plans})))
+		fronts = append(fronts, r.another(figures{doors: 2, me: me, plans: plans}))
 	}
 	time.Sleep(300 * time.Millisecond) // so that the ceiling's stores have something
 	var asking sync.WaitGroup
@@ -455,7 +476,7 @@
 			for time.Now().Before(end) {
 				a := r.ask("look")
 				a.Spread, a.Timeout = 2, 5*time.Second
-				if reply := a.Do(t.Context(), r.transport, fronts[i%2].Addr()); reply.Status == 0 {
+				if reply := r.doAt(t.Context(), a, fronts[i%2]); reply.Status == 0 {
 					t.Errorf("lost: %v", reply.Err)
 				} else if reply.String() == "refused" {
 					time.Sleep(2 * time.Millisecond)
@@ -485,7 +506,7 @@
 // and what the rate gives in 1.5 s.
 func quotaOfTwo(t *testing.T, start Starter, tr *Transcript) {
 	const rate, burst, unseen = 40.0, 40.0, 1.5
-	r := newRig(t)
+	r := newRig(t, start)
 	meter := &standin.Meter{}
 	for range 2 {
 		r.backend(cell(0), func(c *standin.BackendConfig) { c.Meter = meter })
@@ -493,7 +514,7 @@
 	plans := fmt.Sprintf(`{"name":"shop","units_per_s":%v,"burst":%v,"value_factor":1}`, rate, burst)
 	var fronts []Front
 	for me := range 2 {
-		fronts = append(fronts, start(t, r.config(figures{doors: 2, me: me, plans: plans, meter: true})))
+		fronts = append(fronts, r.another(figures{doors: 2, me: me, plans: plans, meter: true}))
 	}
 	begun := time.Now()
 	var asking sync.WaitGroup
@@ -503,7 +524,7 @@
 				a := r.ask("look")
 				a.Spread = 2
 				meter.Enter(a.RequestID(), a.Customer, 1, rate)
-				if reply := a.Do(t.Context(), r.transport, fronts[i%2].Addr()); reply.Status == 0 {
+				if reply := r.doAt(t.Context(), a, fronts[i%2]); reply.Status == 0 {
 					t.Errorf("lost: %v", reply.Err)
 				}
 				meter.Forget(a.RequestID())
@@ -524,13 +545,13 @@
 // leaving: a client that goes away is owed nothing, its attempt is called off, and its slot and open place are
 // free at once: of a plan that may have one attempt out, the next one is served.
 func leaving(t *testing.T, start Starter, tr *Transcript) {
-	r := newRig(t)
+	r := newRig(t, start)
 	r.backend(cell(0), func(c *standin.BackendConfig) { c.Act = standin.Once(standin.Hang) })
-	r.start(start, figures{plans: `{"name":"shop","parallel":1,"value_factor":1}`})
+	r.serve(figures{plans: `{"name":"shop","parallel":1,"value_factor":1}`})
 	ctx, leave := context.WithCancel(t.Context())
 	a := r.ask("pay")
 	gone := make(chan standin.Reply, 1)
-	go func() { gone <- a.Do(ctx, r.transport, r.front.Addr()) }()
+	go func() { gone <- r.doAt(ctx, a, r.front) }()
 	if !r.ledger.Await(patience, func(as []standin.Attempt) bool { return len(as) == 1 && as[0].End == "hung" }) {
 		t.Fatal("the request never came")
 	}
@@ -556,12 +577,12 @@
 
 // ending is rule 1 at a planned restart: all that was taken is answered before the front ends.
 func ending(t *testing.T, start Starter, tr *Transcript) {
-	r := newRig(t)
+	r := newRig(t, start)
 	goOn := make(chan bool)
 	r.backend(cell(0), func(c *standin.BackendConfig) {
 		c.Act = func(standin.Attempt) standin.Act { <-goOn; return standin.Work }
 	})
-	r.start(start, figures{})
+	r.serve(figures{})
 	const n = 10
 	replies := make(chan standin.Reply, n)
 	for i := range n {
@@ -600,9 +621,9 @@
 
 // malformed: what cannot be read gets an error at once, and no backend hears of it.
 func malformed(t *testing.T, start Starter, tr *Transcript) {
-	r := newRig(t)
+	r := newRig(t, start)
 	r.backend(cell(0), nil)
-	r.start(start, figures{})
+	r.serve(figures{})
 	header := func(name string, v ...string) func(*standin.Ask) {
 		return func(a *standin.Ask) { a.Header = http.Header{name: v} }
 	}
@@ -638,6 +659,9 @@
 			c.change(&a)
 		}
 		reply := r.do(a)
+		if reply.Took > timeout/20 {
+			t.Errorf("%s: answered after %v", c.name, reply.Took)
+		}
 		if reply.Status < 400 || reply.Status > 499 {
 			t.Errorf("%s: %v %v", c.name, reply, reply.Err)
 		}
@@ -653,9 +677,9 @@
 
 // bodies pass on unchanged, up to the limit.
 func bodies(t *testing.T, start Starter, tr *Transcript) {
-	r := newRig(t)
+	r := newRig(t, start)
 	r.backend(cell(0), nil)
-	r.start(start, figures{})
+	r.serve(figures{})
 	for name, body := range map[string]string{"empty": "", "small": "a=1&b=\x00\xff\r\n\r\nGET / HTTP/1.1", "largest": strings.Repeat("y", 64<<10)} {
 		a := r.ask("pay")
 		a.Body = body
@@ -671,7 +695,7 @@
 // replays: an id that is open is turned away; one that may have run, of a class whose effect must stay single, is
 // not sent again.
 func replays(t *testing.T, start Starter, tr *Transcript) {
-	r := newRig(t)
+	r := newRig(t, start)
 	goOn := make(chan bool)
 	r.backend(nil, func(c *standin.BackendConfig) { // it drops no repeats
 		c.Act = func(a standin.Attempt) standin.Act {
@@ -681,7 +705,7 @@
 			return standin.Work
 		}
 	})
-	r.start(start, figures{})
+	r.serve(figures{})
 	held := r.ask("pay")
 	held.Body = "hold"
 	first := make(chan standin.Reply, 1)
@@ -706,8 +730,8 @@
 
 // nobody: without a backend everything is refused at once, and said when to come back.
 func nobody(t *testing.T, start Starter, tr *Transcript) {
-	r := newRig(t)
-	r.start(start, figures{})
+	r := newRig(t, start)
+	r.serve(figures{})
 	for _, class := range []string{"look", "pay", "once"} {
 		reply := r.do(r.ask(class))
 		if reply.String() != "refused" || reply.RetryAfter == "" || reply.Took > timeout/2 {
@@ -719,7 +743,7 @@
 
 // many: whatever backends do, each of many requests at once has one answer in time, and no effect is doubled.
 func many(t *testing.T, start Starter, tr *Transcript) {
-	r := newRig(t)
+	r := newRig(t, start)
 	acts := []standin.Act{standin.Work, standin.Work, standin.Work, standin.Work, standin.Work, standin.Work, standin.Work,
 		standin.RunAndError, standin.TurnAway, standin.RunAndBreak, standin.BreakUnheard, standin.RunAndSpoil, standin.RunAndCut, standin.Hang}
 	memories := []*standin.Cell{cell(0), cell(1)}
@@ -736,7 +760,7 @@
 			}
 		})
 	}
-	r.start(start, figures{aimMS: 300, deadlineMS: 2500})
+	r.serve(figures{aimMS: 300, deadlineMS: 2500})
 	var mu sync.Mutex
 	kinds := map[string]int{}
 	var asking sync.WaitGroup
--- a/conformance/consul_test.go
+++ b/conformance/consul_test.go
@@ -154,7 +154,7 @@
 
 // What the file says must be what the configuration says.
 func TestTheOperatorFileSaysTheSame(t *testing.T) {
-	r := newRig(t)
+	r := newRig(t, Starter{})
 	c, err := platform.ParseConfig([]byte(r.config(figures{doors: 3, me: 1, meter: true})))
 	if err != nil {
 		t.Fatal(err)
--- a/conformance/fronts_test.go
+++ b/conformance/fronts_test.go
@@ -145,7 +145,7 @@
 
 // inHost starts fronts whose Door is behind a handler of a host.
 func inHost(handler func(*pumicecroft.Door) http.Handler) Starter {
-	return func(t testing.TB, config string) Front {
+	return Starter{Start: func(t testing.TB, config string) Front {
 		t.Helper()
 		c, err := platform.ParseConfig([]byte(config))
 		if err != nil {
@@ -157,7 +157,7 @@
 			t.Fatal(err)
 		}
 		return host(t, door, handler(door))
-	}
+	}}
 }
 
 // host serves a door behind a handler.
@@ -188,9 +188,10 @@
 
 // fronts are all that the suite runs against.
 var fronts = map[string]Starter{
-	"daemon":              startProcess,
-	"daemon with Consul":  daemonWithConsul,
-	"library with Consul": libraryWithConsul,
+	"daemon":              {Start: startProcess},
+	"daemon with Consul":  {Start: daemonWithConsul},
+	"library with Consul": {Start: libraryWithConsul},
+	"gRPC":                {Start: overGRPC, GRPC: true},
 	"library":             inHost(func(d *pumicecroft.Door) http.Handler { return d }),
 	"nethttp under chi": inHost(func(d *pumicecroft.Door) http.Handler {
 		r := chi.NewRouter()
--- /dev/null
+++ b/conformance/grpc_test.go
@@ -0,0 +1,75 @@
+package conformance
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+
+	"pumicecroft"
+	"pumicecroft/grpcfront"
+	"pumicecroft/internal/daemon"
+	"pumicecroft/internal/platform"
+	"pumicecroft/internal/standin"
+	"pumicecroft/membership"
+)
+
+// overGRPC is a Door in this process behind a gRPC server, with backends that speak gRPC.
+func overGRPC(t testing.TB, config string) Front {
+	t.Helper()
+	c, err := platform.ParseConfig([]byte(config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dc := daemon.DoorConfig(c)
+	dc.Protocol = membership.ProtocolGRPC
+	door, err := pumicecroft.New(dc, grpcfront.WithBackends(grpcfront.BackendConfig{}),
+		pumicecroft.WithSource(platform.Discovery{Addr: c.Discovery, From: c.Known.Seq}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	front, err := grpcfront.New(door, grpcfront.Config{Methods: deskMethods(door), Strict: true, MaxMessage: pumicecroft.MaxBody, Settings: &dc.Settings})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	g := &grpcHosted{door: door, addr: ln.Addr().String(), stop: stop, served: make(chan error, 1)}
+	go func() { g.served <- front.Serve(ctx, ln) }()
+	t.Cleanup(func() { g.Stop() })
+	return g
+}
+
+// deskMethods are the methods of the stand-ins' service: each class is one.
+func deskMethods(door *pumicecroft.Door) map[string]grpcfront.Method {
+	methods := map[string]grpcfront.Method{}
+	for _, class := range door.Classes() {
+		methods["/"+standin.GRPCService+"/"+class] = grpcfront.Method{Class: class}
+	}
+	return methods
+}
+
+type grpcHosted struct {
+	door   *pumicecroft.Door
+	addr   string
+	stop   func()
+	served chan error
+	once   sync.Once
+	err    error
+}
+
+func (g *grpcHosted) Addr() string { return g.addr }
+
+func (g *grpcHosted) Stop() error {
+	g.once.Do(func() {
+		g.stop()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		g.err = errors.Join(<-g.served, g.door.Close(ctx))
+	})
+	return g.err
+}
--- a/door.go
+++ b/door.go
@@ -74,6 +74,12 @@
 	hasID bool // ID is one that was given, even if it is 0
 }
 
+// WithID gives the request an ID that may be 0.
+func (r Request) WithID(id uint64) Request {
+	r.ID, r.hasID = id, true
+	return r
+}
+
 // Answer is what a backend answered to this request, unchanged.
 type Answer struct {
 	Body        []byte
--- /dev/null
+++ b/grpcfront/final.go
@@ -0,0 +1,139 @@
+package grpcfront
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"pumicecroft"
+	"pumicecroft/decision"
+	"pumicecroft/internal/grpcback"
+)
+
+// Pushback is the trailer by which a server says when the same call may be made again, in whole milliseconds, or by a
+// number below 0 that it should not be (gRFC A6).
+const Pushback = "grpc-retry-pushback-ms"
+
+// final is what a client is told when the Door's word on its call was err. reply, if there is one, is what a backend
+// answered in the attempt that the call failed by.
+//
+// RESOURCE_EXHAUSTED with a pushback of 0 or more: the decision module refused; making the call again then is harmless.
+// UNAVAILABLE: this door takes no calls now, another may; making it again at once is harmless. Everything else that ends
+// here carries a pushback of -1: it may have run, or can never succeed. What failed by a backend's error has that error's
+// status, but where clients' usual policies would make a keyed or unsafe call again by it.
+func final(err error, reply *grpcback.Answer, effect decision.Effect) (*status.Status, metadata.MD) {
+	var refused *pumicecroft.RefusedError
+	never := metadata.Pairs(Pushback, "-1")
+	switch {
+	case errors.As(err, &refused):
+		text := err.Error()
+		if reply != nil {
+			text = fmt.Sprintf("%s; the last answer was status %d: %s", text, reply.Code, message(reply.Message))
+		}
+		st := status.New(codes.ResourceExhausted, text)
+		if refused.RetryAfter <= 0 {
+			return st, nil
+		}
+		ms := (refused.RetryAfter + time.Millisecond - 1).Milliseconds()
+		if more, err := st.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(refused.RetryAfter)}); err == nil {
+			st = more
+		}
+		return st, metadata.Pairs(Pushback, strconv.FormatInt(ms, 10))
+	case errors.Is(err, pumicecroft.ErrRefused): // closed, or full
+		return status.New(codes.Unavailable, err.Error()), nil
+	case errors.Is(err, pumicecroft.ErrTooLarge):
+		return status.New(codes.ResourceExhausted, err.Error()), never
+	case errors.Is(err, pumicecroft.ErrBadRequest):
+		return status.New(codes.InvalidArgument, err.Error()), never
+	case errors.Is(err, pumicecroft.ErrReplayed):
+		return status.New(codes.AlreadyExists, err.Error()), never
+	case errors.Is(err, pumicecroft.ErrLate), errors.Is(err, context.DeadlineExceeded):
+		return status.New(codes.DeadlineExceeded, err.Error()), never
+	case errors.Is(err, context.Canceled):
+		return status.New(codes.Canceled, err.Error()), never
+	case reply != nil:
+		code, md := codes.Code(reply.Code), own(reply.Trailer)
+		if effect != decision.Safe && retried(code) {
+			code = codes.Unknown
+			delete(md, "grpc-status-details-bin") // it holds the code again
+		}
+		md.Set(Pushback, "-1")
+		return status.New(code, message(reply.Message)), md
+	}
+	return status.New(codes.Unknown, err.Error()), never
+}
+
+// retried tells whether clients' usual policies make a call again that ended so.
+func retried(c codes.Code) bool {
+	switch c {
+	case codes.Unavailable, codes.ResourceExhausted, codes.Aborted, codes.Internal, codes.DeadlineExceeded:
+		return true
+	}
+	return false
+}
+
+// message is a grpc-message as it was meant: it comes percent-encoded, and what can't be read so stays as it is.
+func message(text string) string {
+	if plain, err := url.PathUnescape(text); err == nil {
+		return strings.ToValidUTF8(plain, "\ufffd")
+	}
+	return strings.ToValidUTF8(text, "\ufffd")
+}
+
+// hopByHop tells whether metadata is between two neighbours only, and so goes no further.
+func hopByHop(name string) bool {
+	switch name {
+	case "content-type", "user-agent", "te", "host", "connection", "proxy-connection", "keep-alive", "transfer-encoding", "upgrade", "trailer", "date":
+		return true
+	}
+	return strings.HasPrefix(name, ":") || strings.HasPrefix(name, "grpc-") && name != "grpc-trace-bin" && name != "grpc-tags-bin" &&
+		name != "grpc-status-details-bin"
+}
+
+// own are a backend's fields as metadata, without those between it and us.
+func own(fields []grpcback.Field) metadata.MD {
+	md := metadata.MD{}
+	for _, f := range fields {
+		if hopByHop(f.Name) {
+			continue
+		}
+		if !strings.HasSuffix(f.Name, "-bin") {
+			md.Append(f.Name, f.Value)
+			continue
+		}
+		for v := range strings.SplitSeq(f.Value, ",") { // as the protocol has it for binary metadata
+			if b, err := base64.RawStdEncoding.DecodeString(strings.TrimRight(v, "=")); err == nil {
+				md.Append(f.Name, string(b))
+			}
+		}
+	}
+	return md
+}
+
+// onward are a call's metadata as they go on to backends.
+func onward(md metadata.MD) []grpcback.Field {
+	out := make([]grpcback.Field, 0, len(md)+1)
+	for name, values := range md {
+		if hopByHop(name) {
+			continue
+		}
+		for _, v := range values {
+			if strings.HasSuffix(name, "-bin") {
+				v = base64.RawStdEncoding.EncodeToString([]byte(v))
+			}
+			out = append(out, grpcback.Field{Name: name, Value: v})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/grpcfront/front.go
@@ -0,0 +1,195 @@
+package grpcfront
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"pumicecroft"
+	"pumicecroft/internal/grpcback"
+)
+
+// framed is a message with its prefix, as it stands on the wire. See Codec.
+type framed []byte
+
+// Handle is a grpc.StreamHandler: it carries the calls of all methods that the Config has, and answers others
+// UNIMPLEMENTED. The server needs the Codec.
+func (f *Front) Handle(_ any, ss grpc.ServerStream) error {
+	method, _ := grpc.MethodFromServerStream(ss)
+	m, ok := f.method(method)
+	if !ok {
+		ss.SetTrailer(metadata.Pairs(Pushback, "-1"))
+		return status.Errorf(codes.Unimplemented, "the front door carries no method %s", method)
+	}
+	return f.serve(ss, method, m)
+}
+
+// Interceptor takes the calls of the methods that the Config has, and leaves others to the host's handlers. It goes last
+// into a chain of grpc.StreamServerInterceptors, behind those that say who asks (pumicecroft.WithIdentity). A unary method
+// that the host has registered itself never comes by: the host's server calls it without stream interceptors.
+func (f *Front) Interceptor() grpc.StreamServerInterceptor {
+	return func(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+		if m, ok := f.method(info.FullMethod); ok {
+			return f.serve(ss, info.FullMethod, m)
+		}
+		return next(srv, ss)
+	}
+}
+
+// serve carries one call.
+func (f *Front) serve(ss grpc.ServerStream, method string, m Method) error {
+	ctx := ss.Context()
+	md, _ := metadata.FromIncomingContext(ctx)
+	arrived := time.Now()
+	req, err := f.read(ctx, m, md)
+	load := &grpcback.Request{Method: method}
+	if err == nil {
+		load.Body, err = f.receive(ss)
+	}
+	if err != nil {
+		return f.end(ss, m, nil, err)
+	}
+	if req.Timeout > 0 { // what reading took is the client's time too
+		req.Timeout = max(1, req.Timeout-time.Since(arrived))
+	}
+	load.Metadata = onward(md)
+	if f.names.ID != "" && len(md[f.names.ID]) == 0 {
+		req = req.WithID(rand.Uint64())
+		load.Metadata = append(load.Metadata, grpcback.Field{Name: f.names.ID, Value: fmt.Sprintf("%016x", req.ID)})
+	}
+	var out *sender
+	if m.Streaming {
+		out = &sender{ss: ss}
+		defer out.close()
+		load.Sink = out
+	}
+	reply, err := f.door.Relay(ctx, req, load)
+	answer, _ := reply.(*grpcback.Answer)
+	if err != nil {
+		return f.end(ss, m, answer, err)
+	}
+	if out == nil || !out.begun {
+		if err := ss.SetHeader(own(answer.Header)); err != nil {
+			return err
+		}
+	}
+	if out == nil && answer.Code == 0 {
+		if err := ss.SendMsg(framed(answer.Body)); err != nil {
+			return err // the client has gone
+		}
+	}
+	trailer := own(answer.Trailer)
+	if answer.Code != 0 { // the service's own word on the call, which a repeat would not change
+		trailer.Set(Pushback, "-1")
+	}
+	ss.SetTrailer(trailer)
+	return status.Error(codes.Code(answer.Code), message(answer.Message))
+}
+
+// end is a call's answer when there is none to pass on.
+func (f *Front) end(ss grpc.ServerStream, m Method, reply *grpcback.Answer, err error) error {
+	if errors.Is(err, pumicecroft.ErrBadRequest) {
+		f.log.Debug("a call that makes no sense", "err", err)
+	}
+	st, md := final(err, reply, f.effects[m.Class])
+	ss.SetTrailer(md)
+	return st.Err()
+}
+
+// errStreaming refuses calls whose clients stream.
+var errStreaming = fmt.Errorf("%w: a second message: only unary and server-streaming calls are carried", pumicecroft.ErrBadRequest)
+
+// receive reads a call's one message, within its time. A client that goes on sending, or does not end its sending, is
+// refused.
+func (f *Front) receive(ss grpc.ServerStream) (framed, error) {
+	type got struct {
+		message framed
+		err     error
+	}
+	come := make(chan got, 1)
+	go func() { // it ends with the call at the latest
+		var first, second framed
+		err := ss.RecvMsg(&first)
+		if err == nil {
+			if err = ss.RecvMsg(&second); err == io.EOF {
+				err = nil
+			} else if err == nil {
+				err = errStreaming
+			}
+		} else if err == io.EOF {
+			err = fmt.Errorf("%w: no message", pumicecroft.ErrBadRequest)
+		}
+		come <- got{first, err}
+	}()
+	late := time.NewTimer(f.config.ReadTimeout)
+	defer late.Stop()
+	select {
+	case g := <-come:
+		if st, ok := status.FromError(g.err); g.err != nil && ok {
+			switch st.Code() {
+			case codes.ResourceExhausted: // over MaxMessage
+				g.err = fmt.Errorf("%w: %s", pumicecroft.ErrTooLarge, st.Message())
+			case codes.Canceled, codes.DeadlineExceeded:
+				g.err = fmt.Errorf("the caller left: %w", context.Cause(ss.Context()))
+			default:
+				g.err = fmt.Errorf("%w: %s", pumicecroft.ErrBadRequest, st.Message())
+			}
+		}
+		return g.message, g.err
+	case <-late.C:
+		return nil, fmt.Errorf("%w: the message did not come whole, and the end of its sending, within %v", pumicecroft.ErrBadRequest,
+			f.config.ReadTimeout)
+	}
+}
+
+// sender passes a streamed answer on. A send waits while the client does not read, and can't be called off: so it is made
+// by a goroutine of its own, which ends with the call.
+type sender struct {
+	ss    grpc.ServerStream
+	begun bool
+	work  chan framed
+	sent  chan error
+}
+
+// Head begins the answer.
+func (s *sender) Head(fields []grpcback.Field) {
+	s.begun = true
+	s.work, s.sent = make(chan framed), make(chan error, 1)
+	err := s.ss.SetHeader(own(fields))
+	go func() {
+		for p := range s.work {
+			if err == nil {
+				err = s.ss.SendMsg(p)
+			}
+			s.sent <- err
+		}
+	}()
+}
+
+// Message sends one, and returns when the connection has taken it.
+func (s *sender) Message(ctx context.Context, p []byte) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	s.work <- p
+	select {
+	case err := <-s.sent:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (s *sender) close() {
+	if s.begun {
+		close(s.work)
+	}
+}
--- a/http.go
+++ b/http.go
@@ -13,11 +13,9 @@
 	"time"
 
 	"pumicecroft/decision"
+	"pumicecroft/internal/terms"
 )
 
-// maxCustomer is over any customer's number on the platform.
-const maxCustomer = 1 << 33
-
 // Identity is who asks, as the host knows it.
 type Identity struct {
 	Customer uint64
@@ -212,7 +210,7 @@
 	if twice != "" {
 		return bad(twice, strings.Join(r.Header[twice], ", "))
 	}
-	id, err := parseHex(h.id)
+	id, err := terms.Hex(h.id)
 	if err != nil {
 		return bad("Request-Id", h.id)
 	}
@@ -235,7 +233,7 @@
 	}
 	who, known := IdentityFrom(r.Context())
 	if !known {
-		if who.Customer, err = parseHex(h.customer); err != nil || who.Customer >= maxCustomer {
+		if who.Customer, err = terms.Customer(h.customer); err != nil {
 			return bad("X-Api-Key", h.customer)
 		}
 		who.Plan = h.plan
@@ -250,9 +248,11 @@
 	out := Request{ID: id, hasID: true, Class: class.Name, Plan: who.Plan, Customer: who.Customer, Key: h.key,
 		Timeout: max(1, time.Duration(min(seconds, class.Deadline.Seconds())*float64(time.Second))),
 		Method:  r.Method, Target: target(r), Host: r.Host}
-	if !parseTerms(h.terms, &out, &d.config.Settings) {
+	t, ok := terms.Parse(h.terms, &d.config.Settings)
+	if !ok {
 		return bad("X-Call-Terms", h.terms)
 	}
+	out.Units, out.Spread, out.FirstDoor = t.Units, t.Spread, t.First
 	if v := r.Header["Content-Type"]; len(v) > 0 {
 		out.ContentType = v[0]
 	}
@@ -291,37 +291,3 @@
 		timeout: one("Request-Timeout"), terms: one("X-Call-Terms"), key: one("Idempotency-Key")}
 	return out, twice
 }
-
-// parseTerms reads "units=2,spread=3,first=1"; each must be there once, and in range.
-func parseTerms(text string, req *Request, set *decision.Settings) bool {
-	var units, spread, first bool
-	for field := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		var err error
-		var again bool
-		switch name {
-		case "units":
-			again, units = units, true
-			req.Units, err = strconv.ParseFloat(value, 64)
-		case "spread":
-			again, spread = spread, true
-			req.Spread, err = strconv.Atoi(value)
-		case "first":
-			again, first = first, true
-			req.FirstDoor, err = strconv.Atoi(value)
-		}
-		if err != nil || again {
-			return false
-		}
-	}
-	return units && spread && first && req.Units > 0 && !math.IsInf(req.Units, 0) &&
-		(set.LargestUnits <= 0 || req.Units <= set.LargestUnits) &&
-		req.Spread >= 1 && req.Spread <= set.FrontDoors && req.FirstDoor >= 0 && req.FirstDoor < set.FrontDoors
-}
-
-func parseHex(s string) (uint64, error) {
-	if len(s) != 16 {
-		return 0, strconv.ErrSyntax
-	}
-	return strconv.ParseUint(s, 16, 64)
-}
--- a/internal/grpcback/backends.go
+++ b/internal/grpcback/backends.go
@@ -19,6 +19,7 @@
 	"pumicecroft/internal/core"
 	"pumicecroft/internal/drive"
 	"pumicecroft/internal/grpcwire"
+	"pumicecroft/internal/readings"
 	"pumicecroft/membership"
 )
 
@@ -29,8 +30,10 @@
 	Connect    time.Duration // a connection that is not up by then counts as failed; 250 ms
 	Idle       time.Duration // one that was idle for longer is not used; 15 s
 	MaxMessage int           // of an answer, in bytes; 4 MiB
-	Log        *slog.Logger
-	Dial       func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the system's
+	// LoadColumns are the settings' names of load figures; none: there are no load reports.
+	LoadColumns []string
+	Log         *slog.Logger
+	Dial        func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the system's
 }
 
 // Request is a client's call as it goes on to a backend, with each attempt.
@@ -38,6 +41,17 @@
 	Method   string  // such as /package.Service/Method
 	Metadata []Field // that goes on with it, without the fields that gRPC itself uses
 	Body     []byte  // one message with its prefix
+	Sink     Sink    // of a server-streaming call; nil: it is a unary one
+}
+
+// Sink takes a streamed answer as it comes. It is called by one goroutine at a time, and only after the attempt's answer
+// was allowed to begin, so by one attempt of a request only.
+type Sink interface {
+	// Head comes once, before the first message.
+	Head(fields []Field)
+	// Message takes a message with its prefix, and keeps it. It waits while its client does not read, until ctx ends: what
+	// the backend may send meanwhile is bounded by the stream's window. An error ends the attempt.
+	Message(ctx context.Context, p []byte) error
 }
 
 // Protocol is what it goes over.
@@ -48,13 +62,15 @@
 	Code            grpcwire.Code
 	Message         string // grpc-message as it came
 	Header, Trailer []Field
-	Body            []byte // messages with their prefixes
+	Body            []byte // of a unary call, its message with its prefix; else what the Sink has not taken, of a stream without any
 	whole           bool   // the backend has ended the stream
+	use, load       string // what the backend told of the customer and of itself, as it came
 }
 
 // Backends makes attempts at the backends that it was told of. It is a drive.Carrier and safe for concurrent use.
 type Backends struct {
 	config   Config
+	readings readings.Reader
 	faultLog rate.Sometimes
 
 	mu   sync.Mutex
@@ -103,7 +119,7 @@
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
-	return &Backends{config: c, faultLog: rate.Sometimes{First: 10, Interval: time.Second}, byID: map[decision.BackendID]*backend{}}
+	return &Backends{config: c, readings: readings.New(c.LoadColumns), faultLog: rate.Sometimes{First: 10, Interval: time.Second}, byID: map[decision.BackendID]*backend{}}
 }
 
 // Apply takes in what has changed about backends. It holds for every attempt that begins after it returns.
@@ -154,10 +170,13 @@
 	return decision.ProbeResult{Backend: id, Result: decision.NotSent}
 }
 
-// Carry makes an attempt at a unary call.
+// Carry makes an attempt. One that is answered, with an error too, gives an *Answer.
 func (b *Backends) Carry(a *drive.Attempt) drive.Reply {
 	req := a.Load.(*Request)
 	s := &stream{done: make(chan struct{})}
+	if req.Sink != nil {
+		s.call.Streaming, s.news = true, make(chan struct{}, 1)
+	}
 	s.call.Limit = b.config.MaxMessage
 	ctx, cancel := context.WithDeadline(context.Background(), a.Due)
 	defer cancel()
@@ -180,15 +199,28 @@
 	})
 	defer end()
 	c.send(s, req.Body)
+	cut := decision.Answered // how passing it on has ended
+	if req.Sink != nil {
+		cut = s.pass(ctx, a, req.Sink)
+	}
 	<-s.done
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o, _ := s.call.Ended()
-	r := reply(o.Result)
 	if o.Result == decision.Answered {
+		o.Result = cut
+	}
+	r := reply(o.Result)
+	switch o.Result {
+	case decision.Answered, decision.AnsweredErr:
 		s.answer.Code, s.answer.Body = o.Code, s.body
 		r.Body = &s.answer
-	} else {
+	}
+	if v, ok := b.readings.Use(s.answer.use); ok {
+		r.HasUse, r.Use = true, v
+	}
+	r.Load = b.readings.Load(s.answer.load)
+	if o.Result != decision.Answered {
 		b.faultLog.Do(func() {
 			b.config.Log.Debug("an attempt over gRPC", "method", req.Method, "why", o.Why, "proof", o.Proof)
 		})
--- a/internal/grpcback/conn.go
+++ b/internal/grpcback/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +15,8 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"pumicecroft/decision"
+	"pumicecroft/internal/drive"
 	"pumicecroft/internal/grpcwire"
 )
 
@@ -48,7 +52,9 @@
 	call   grpcwire.Call
 	window int64 // for what this side sends
 	answer Answer
-	body   []byte        // of the answer, framed; of a unary one all of it
+	body   []byte        // of the answer, framed: of a unary one all of it, of a streamed one what was not taken
+	news   chan struct{} // holds one when a streamed answer has gone on; nil: it is a unary one
+	owed   uint32        // of the stream's window, given back when what was sent is taken
 	done   chan struct{} // closed when call has ended
 	over   bool          // done is closed
 }
@@ -260,6 +266,7 @@
 	}
 	s.over = true
 	close(s.done)
+	s.tell()
 	delete(c.streams, s.id)
 	c.idle = 0
 	c.settle()
@@ -386,11 +393,15 @@
 			c.ifEnded(s)
 		}
 		if n > 0 {
-			id, open := f.StreamID, s != nil && !s.over
+			id, back := f.StreamID, uint32(0)
+			if s != nil && !s.over {
+				s.owed += n
+				back = s.credit()
+			}
 			answer = func() error {
 				err := c.writer.WriteWindowUpdate(0, n)
-				if open {
-					err = errors.Join(err, c.writer.WriteWindowUpdate(id, n))
+				if back > 0 {
+					err = errors.Join(err, c.writer.WriteWindowUpdate(id, back))
 				}
 				return err
 			}
@@ -468,6 +479,10 @@
 			t.Pushback = h.Value
 		case "content-type":
 			contentType = h.Value
+		case "x-ratelimit-used": // this and the next are for the door, in a head or in trailers
+			s.answer.use = h.Value
+		case "server-load":
+			s.answer.load = h.Value
 		default:
 			rest = append(rest, Field{h.Name, h.Value})
 		}
@@ -496,5 +511,109 @@
 	s.call.Data(p, last)
 	if _, ended := s.call.Ended(); !ended {
 		s.body = append(s.body, p...)
+		s.tell()
+	}
+}
+
+// credit is how much of its window a stream gives back now: what has come, unless it is a streamed answer that is not
+// read as fast as it comes. A message that is not whole is waited for, however long it is; its length is bounded. It wants
+// the connection's lock.
+func (s *stream) credit() uint32 {
+	if s.news != nil && s.message() > 0 {
+		return 0
+	}
+	n := s.owed
+	s.owed = 0
+	return n
+}
+
+// message is the length of the first message that is there whole, with its prefix; 0: none is.
+func (s *stream) message() int {
+	if len(s.body) < 5 {
+		return 0
+	}
+	if n := 5 + int(binary.BigEndian.Uint32(s.body[1:])); n <= len(s.body) {
+		return n
+	}
+	return 0
+}
+
+// tell rouses who passes a streamed answer on.
+func (s *stream) tell() {
+	if s.news != nil {
+		select {
+		case s.news <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// take gives the next message of a streamed answer, or nil once it has ended; a message that came before a good end is
+// given, one before a bad end need not be.
+func (s *stream) take() []byte {
+	c := s.conn
+	for {
+		c.mu.Lock()
+		n := s.message()
+		if o, ended := s.call.Ended(); s.over && (n == 0 || !ended || o.Result != decision.Answered) {
+			c.mu.Unlock()
+			return nil
+		}
+		if n > 0 {
+			p := s.body[:n:n]
+			if s.body = s.body[n:]; len(s.body) == 0 {
+				s.body = nil
+			}
+			c.mu.Unlock()
+			return p
+		}
+		c.mu.Unlock()
+		<-s.news
+	}
+}
+
+// taken gives the backend's window back for what was taken.
+func (s *stream) taken() {
+	c := s.conn
+	c.mu.Lock()
+	n := uint32(0)
+	if !s.over {
+		n = s.credit()
+	}
+	c.mu.Unlock()
+	if n == 0 {
+		return
+	}
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	c.wrote(errors.Join(c.writer.WriteWindowUpdate(s.id, n), c.out.Flush()))
+}
+
+// pass passes a streamed answer on, and tells how that has ended: Answered, or why its client did not get all of it.
+func (s *stream) pass(ctx context.Context, a *drive.Attempt, sink Sink) decision.Result {
+	for begun := false; ; begun = true {
+		p := s.take()
+		if p == nil {
+			return decision.Answered
+		}
+		if !begun {
+			if !a.Begin() {
+				s.conn.giveUp(s, (*grpcwire.Call).CalledOff)
+				return decision.Cancelled
+			}
+			s.conn.mu.Lock()
+			head := s.answer.Header
+			s.conn.mu.Unlock()
+			sink.Head(head)
+		}
+		if sink.Message(ctx, p) != nil {
+			if errors.Is(a.Off(), drive.ErrCalledOff) || ctx.Err() == nil {
+				s.conn.giveUp(s, (*grpcwire.Call).CalledOff)
+				return decision.Cancelled
+			}
+			s.conn.giveUp(s, (*grpcwire.Call).TimedOut)
+			return decision.TimedOut
+		}
+		s.taken()
 	}
 }
--- a/internal/grpcwire/frame.go
+++ b/internal/grpcwire/frame.go
@@ -10,7 +10,7 @@
 )
 
 // Messages follows the framing of a body: before each message a byte that tells whether it is compressed, and its
-// length in four. It keeps no message. The zero value is ready.
+// length in four. A compressed one is an error, as no attempt offers an encoding. It keeps no message. The zero value is ready.
 type Messages struct {
 	Limit int // of a message, in bytes; 0: none
 	Whole int // messages that have come whole
@@ -24,7 +24,7 @@
 // Errors of Messages.
 var (
 	ErrTooLong = errors.New("a message over the limit")
-	ErrFlag    = errors.New("a message with an unknown flag")
+	ErrFlag    = errors.New("a message that is compressed, or has an unknown flag")
 )
 
 // Add takes in the next bytes. After an error nothing more is taken.
@@ -39,7 +39,7 @@
 			}
 			m.left = int64(binary.BigEndian.Uint32(m.head[1:]))
 			switch {
-			case m.head[0] > 1:
+			case m.head[0] != 0:
 				m.bad = fmt.Errorf("%w: %d", ErrFlag, m.head[0])
 			case m.Limit > 0 && m.left > int64(m.Limit):
 				m.bad = fmt.Errorf("%w: %d bytes of %d", ErrTooLong, m.left, m.Limit)
--- a/internal/httpback/backends.go
+++ b/internal/httpback/backends.go
@@ -7,13 +7,13 @@
 	"context"
 	"log/slog"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"pumicecroft/decision"
 	"pumicecroft/internal/drive"
+	"pumicecroft/internal/readings"
 	"pumicecroft/membership"
 
 	"golang.org/x/time/rate"
@@ -68,7 +68,7 @@
 // safe for concurrent use.
 type Backends struct {
 	pool     *pool
-	columns  []string // names of load figures as in the header, in the order of the settings
+	readings readings.Reader
 	log      *slog.Logger
 	faultLog rate.Sometimes
 
@@ -78,10 +78,6 @@
 
 var _ drive.Backends = (*Backends)(nil)
 
-// columnNames are the header's names for the settings' load figures.
-var columnNames = map[string]string{"concurrent": "inflight", "depth": "queue", "load_share": "util",
-	"mean_ms": "latency_ms", "tps": "qps", "err_ps": "eps"}
-
 // New knows no backends yet.
 func New(c Config) *Backends {
 	dial := c.Dial
@@ -90,16 +86,10 @@
 	}
 	b := &Backends{log: c.Log, faultLog: rate.Sometimes{First: 10, Interval: time.Second},
 		pool: newPool(dial, c.Conns, time.Duration(idleShare*float64(c.Idle))),
-		byID: map[decision.BackendID]*backend{}}
+		byID: map[decision.BackendID]*backend{}, readings: readings.New(c.LoadColumns)}
 	if b.log == nil {
 		b.log = slog.New(slog.DiscardHandler)
 	}
-	for _, name := range c.LoadColumns {
-		if short, ok := columnNames[name]; ok {
-			name = short
-		}
-		b.columns = append(b.columns, name)
-	}
 	return b
 }
 
@@ -152,7 +142,7 @@
 func (b *Backends) Probe(id decision.BackendID, timeout time.Duration) decision.ProbeResult {
 	out := decision.ProbeResult{Backend: id}
 	m := &Request{Method: "GET", Target: "/health"}
-	if len(b.columns) > 0 {
+	if b.readings.HasLoad() {
 		m.Target = "/status/load"
 	}
 	start := time.Now()
@@ -161,37 +151,8 @@
 	defer alarm.Stop()
 	r := b.Carry(a)
 	out.Result, out.Took, out.Load = r.Result, time.Since(start), r.Load
-	if answer, ok := r.Body.(*Answer); ok && len(b.columns) > 0 {
-		out.Load = b.parseLoad(strings.TrimSpace(string(answer.Body)))
+	if answer, ok := r.Body.(*Answer); ok && b.readings.HasLoad() {
+		out.Load = b.readings.Load(strings.TrimSpace(string(answer.Body)))
 	}
 	return out
 }
-
-// parseLoad reads a load report such as "queue=2,qps=31"; nil if it does not hold all that the settings name.
-func (b *Backends) parseLoad(text string) []float64 {
-	if text == "" || len(b.columns) == 0 {
-		return nil
-	}
-	load := make([]float64, len(b.columns))
-	found := 0
-	for field := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		for i, column := range b.columns {
-			if name == column {
-				v, err := strconv.ParseFloat(value, 64)
-				if err != nil || !(v >= 0) || v > maxLoad {
-					return nil
-				}
-				load[i] = v
-				found++
-			}
-		}
-	}
-	if found != len(load) {
-		return nil
-	}
-	return load
-}
-
-// maxLoad is over any figure that a report could hold.
-const maxLoad = 1e300
--- a/internal/httpback/exchange.go
+++ b/internal/httpback/exchange.go
@@ -22,7 +22,6 @@
 	// An answer that has begun and does not end within answerTime is a spoilt one: backends write theirs at once.
 	answerTime = 500 * time.Millisecond
 	maxHead    = 16 << 10 // of an answer, 1xx answers ahead of it among it
-	maxUse     = 10_000   // percent; a figure over it is no customer's use
 )
 
 // Check tells what of a request cannot stand on the wire as it is.
@@ -215,7 +214,7 @@
 			}
 		}
 		r.Result, r.Body = decision.Answered, &Answer{ContentType: head.contentType, Body: body}
-		b.readings(r, head.use, head.load)
+		b.told(r, head.use, head.load)
 		c.bound.rest()
 		return true, nil
 	}
@@ -240,19 +239,17 @@
 	default:
 		r.Result = decision.AnsweredErr // it may have run
 	}
-	b.readings(r, res.Header.Get("X-RateLimit-Used"), res.Header.Get("Server-Load"))
+	b.told(r, res.Header.Get("X-RateLimit-Used"), res.Header.Get("Server-Load"))
 	c.bound.rest()
 	return !res.Close, nil
 }
 
-// readings takes the customer's use and the backend's load from an answer's head. What makes no sense says nothing.
-func (b *Backends) readings(r *drive.Reply, use, load string) {
-	if use != "" {
-		if v, err := strconv.ParseFloat(use, 64); err == nil && v >= 0 && v <= maxUse {
-			r.HasUse, r.Use = true, v
-		}
+// told takes the customer's use and the backend's load from an answer's head. What makes no sense says nothing.
+func (b *Backends) told(r *drive.Reply, use, load string) {
+	if v, ok := b.readings.Use(use); ok {
+		r.HasUse, r.Use = true, v
 	}
-	r.Load = b.parseLoad(load)
+	r.Load = b.readings.Load(load)
 }
 
 // readAnswer reads an answer's body. One that only the connection's end would end can't be told from a cut one.
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -67,6 +67,7 @@
 	Cold   bool
 	Ledger *Ledger
 	Meter  *Meter // nil: answers tell no use
+	GRPC   bool   // it speaks gRPC; its methods' names end with its classes
 }
 
 // Backend is a stand-in for one backend.
@@ -75,6 +76,7 @@
 	addr   string
 	born   time.Time // zero: long ago
 	server *http.Server
+	grpc   *GRPCBackend
 	slots  chan struct{}
 
 	mu       sync.Mutex
@@ -94,6 +96,12 @@
 		b.born = time.Now()
 	}
 	var err error
+	if c.GRPC {
+		if b.grpc, err = StartGRPC(GRPCConfig{deal: b.deal}); err == nil {
+			b.addr = b.grpc.Addr()
+		}
+		return b, err
+	}
 	b.server, b.addr, err = listen(b)
 	return b, err
 }
@@ -132,7 +140,13 @@
 }
 
 // Kill ends it at once: its connections are reset, new ones refused.
-func (b *Backend) Kill() { b.server.Close() }
+func (b *Backend) Kill() {
+	if b.grpc != nil {
+		b.grpc.Kill()
+		return
+	}
+	b.server.Close()
+}
 
 // Fallen tells whether it was sent too much while it was cold.
 func (b *Backend) Fallen() bool {
@@ -192,58 +206,70 @@
 	if err != nil {
 		return // it has not come whole
 	}
+	a := &Attempt{Class: class, ID: r.Header.Get("Request-Id"), Key: r.Header.Get("Idempotency-Key"),
+		Conn: r.RemoteAddr, Body: string(body), Timeout: r.Header.Get("Request-Timeout")}
+	act, use, ok := b.deal(r.Context(), a)
+	if !ok {
+		return
+	}
+	if use != "" {
+		w.Header().Set("X-RateLimit-Used", use)
+	}
+	switch act {
+	case Work:
+		io.WriteString(w, answerTo(a.ID))
+	case TurnAway:
+		w.Header().Set("Not-Started", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case RunAndError:
+		w.WriteHeader(http.StatusInternalServerError)
+	case Hang, HangUnrun:
+		<-r.Context().Done()
+	default:
+		b.spoil(w, act)
+	}
+}
+
+// deal is what becomes of an attempt that has come whole, short of its answer: how it is to be answered, with the use that
+// the meter tells, if it does; !ok: the client has left. ctx ends when the client leaves.
+func (b *Backend) deal(ctx context.Context, a *Attempt) (act Act, use string, ok bool) {
 	c := &b.config
 	now := time.Now()
-	a := &Attempt{Backend: c.Name, Class: class, ID: r.Header.Get("Request-Id"), Key: r.Header.Get("Idempotency-Key"),
-		At: now, Conn: r.RemoteAddr, Body: string(body), Timeout: r.Header.Get("Request-Timeout")}
+	a.Backend, a.At = c.Name, now
 	if c.Cell != nil {
 		a.Cell = c.Cell.Number
 	}
 	c.Ledger.add(a)
-	act := Work
 	if c.Act != nil {
 		act = c.Act(*a)
 	}
 	work := time.Duration(0)
 	if c.Work != nil {
-		work = c.Work(class)
+		work = c.Work(a.Class)
 	}
 	if act == TurnAway || act == Work && !b.arrive(now, work) {
 		c.Ledger.end(a, "turned away", false)
-		w.Header().Set("Not-Started", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return TurnAway, "", true
 	}
 	if act == Work {
 		defer b.leave()
 		if c.Capacity == 0 {
 			work = time.Duration(float64(work) / b.warmth(now))
 		}
-		if !b.work(r.Context(), work) {
+		if !b.work(ctx, work) {
 			c.Ledger.end(a, "given up", false) // the client left while it waited or worked
-			return
+			return act, "", false
 		}
 	}
-	effect := act != HangUnrun && act != BreakUnheard && (c.Keyed == nil || c.Keyed(class)) && c.Cell.first(a.Key, now)
+	effect := act != HangUnrun && act != BreakUnheard && (c.Keyed == nil || c.Keyed(a.Class)) && c.Cell.first(a.Key, now)
 	if c.Meter != nil {
-		if use, ok := c.Meter.count(a.ID, now); ok {
-			w.Header().Set("X-RateLimit-Used", strconv.FormatFloat(use, 'f', 1, 64))
+		if v, ok := c.Meter.count(a.ID, now); ok {
+			use = strconv.FormatFloat(v, 'f', 1, 64)
 		}
 	}
-	switch act {
-	case Work:
-		c.Ledger.end(a, "served", effect)
-		io.WriteString(w, answerTo(a.ID))
-	case RunAndError:
-		c.Ledger.end(a, "error", effect)
-		w.WriteHeader(http.StatusInternalServerError)
-	case Hang, HangUnrun:
-		c.Ledger.end(a, "hung", effect)
-		<-r.Context().Done()
-	default:
-		c.Ledger.end(a, map[Act]string{RunAndBreak: "broken", BreakUnheard: "broken", RunAndSpoil: "spoilt", RunAndCut: "cut"}[act], effect)
-		b.spoil(w, act)
-	}
+	c.Ledger.end(a, map[Act]string{Work: "served", RunAndError: "error", Hang: "hung", HangUnrun: "hung", RunAndBreak: "broken",
+		BreakUnheard: "broken", RunAndSpoil: "spoilt", RunAndCut: "cut"}[act], effect)
+	return act, use, true
 }
 
 // answerTo is the body that only this request's answer has.
--- a/internal/standin/grpc.go
+++ b/internal/standin/grpc.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,6 +60,9 @@
 	// Window is told as SETTINGS_INITIAL_WINDOW_SIZE, and no window is ever opened again: a longer message gets stuck.
 	// 0: the usual one, opened again as it is used.
 	Window uint32
+
+	// deal, if it is there, has the backend act as a Backend does, and all but MaxStreams and Window is its.
+	deal func(ctx context.Context, a *Attempt) (act Act, use string, ok bool)
 }
 
 // GRPCBackend is a stand-in for a backend that speaks gRPC, written on HTTP/2's frames so that it can fail in each of
@@ -164,12 +169,17 @@
 	body   []byte
 	window int64
 	reset  bool // by the other side
+	ctx    context.Context
+	leave  context.CancelFunc
 }
 
 func (c *grpcConn) serve() {
 	defer func() {
 		c.mu.Lock()
 		c.ended = true
+		for _, s := range c.streams {
+			s.leave()
+		}
 		c.opened.Broadcast()
 		c.mu.Unlock()
 		c.conn.Close()
@@ -230,10 +240,12 @@
 	case *http2.RSTStreamFrame:
 		if s := c.streams[f.StreamID]; s != nil {
 			s.reset = true
+			s.leave()
 			c.opened.Broadcast()
 		}
 	case *http2.MetaHeadersFrame:
 		s := &grpcStream{id: f.StreamID, fields: map[string]string{}, window: c.initial}
+		s.ctx, s.leave = context.WithCancel(context.Background())
 		for _, h := range f.Fields {
 			s.fields[h.Name] = h.Value
 		}
@@ -272,6 +284,11 @@
 	if len(s.body) >= 5 {
 		a.Body = string(s.body[5:])
 	}
+	if c.b.config.deal != nil {
+		a.Class = a.Class[strings.LastIndexByte(a.Class, '/')+1:]
+		c.b.ran.Go(func() { c.dealt(s, a) })
+		return
+	}
 	if c.b.config.Cell != nil {
 		a.Cell = c.b.config.Cell.Number
 	}
@@ -279,6 +296,49 @@
 	c.b.ran.Go(func() { c.answer(s, a) })
 }
 
+// dealt answers as a Backend does.
+func (c *grpcConn) dealt(s *grpcStream, a *Attempt) {
+	defer c.forget(s)
+	act, use, ok := c.b.config.deal(s.ctx, a)
+	if !ok {
+		return
+	}
+	end := [][2]string{{"grpc-status", "0"}}
+	if use != "" {
+		end = append(end, [2]string{"x-ratelimit-used", use})
+	}
+	switch act {
+	case Work:
+		c.headers(s, false, nil)
+		c.data(s, answerTo(a.ID), false)
+		c.headers(s, true, end)
+	case TurnAway:
+		c.only(s, "14", "20")
+	case RunAndError:
+		c.only(s, "13", "")
+	case Hang, HangUnrun:
+		<-s.ctx.Done()
+	case RunAndSpoil:
+		c.headers(s, false, nil)
+		c.raw(s, []byte("\x07noise noise"), false)
+		c.headers(s, true, end)
+	case RunAndCut:
+		c.headers(s, false, nil)
+		c.raw(s, []byte{0, 0, 0, 0, 99, 1, 2}, false)
+		c.conn.Close()
+	default: // RunAndBreak, BreakUnheard
+		c.conn.Close()
+	}
+}
+
+// forget drops a stream that has its answer.
+func (c *grpcConn) forget(s *grpcStream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.leave()
+	delete(c.streams, s.id)
+}
+
 // answer does what the act says.
 func (c *grpcConn) answer(s *grpcStream, a *Attempt) {
 	b := c.b.config
@@ -353,9 +413,7 @@
 		c.data(s, string(make([]byte, GRPCTooLongBytes)), false)
 		c.headers(s, true, ok)
 	}
-	c.mu.Lock()
-	delete(c.streams, s.id)
-	c.mu.Unlock()
+	c.forget(s)
 }
 
 // headers writes the answer's head, or its last one with more fields.
