The daemon takes calls over gRPC by its operator's file; the suite runs against it as a process

Change: operator reads and checks it (key and line of each problem), daemon runs the gRPC front beside HTTP's on one Door and ends both on SIGTERM. Nothing of it is read on the platform.

--- a/conformance/consul_test.go
+++ b/conformance/consul_test.go
@@ -69,7 +69,12 @@
 // knows waits until a door knows all that the agent holds.
 func knows(t testing.TB, agent *standin.Consul, ask func() ([]pumicecroft.Member, error)) {
 	t.Helper()
-	want := slices.Sorted(maps.Keys(agent.Instances(consulService)))
+	knowsAll(t, slices.Sorted(maps.Keys(agent.Instances(consulService))), ask)
+}
+
+// knowsAll waits until a door knows the members of these names, which are sorted.
+func knowsAll(t testing.TB, want []string, ask func() ([]pumicecroft.Member, error)) {
+	t.Helper()
 	for end := time.Now().Add(patience); ; time.Sleep(2 * time.Millisecond) {
 		ms, err := ask()
 		var got []string
@@ -129,10 +134,19 @@
 
 // operatorFile says in an operator's file what the platform's configuration says, with Consul as the source.
 func operatorFile(c platform.Config, agent string) string {
+	var b strings.Builder
+	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	line("[consul]\naddress = %q\n[[consul.service]]\nname = %q", agent, consulService)
+	line("cell = %q\nzone = %q\nmodel = %q\nstarted = %q", mapping.Cell, mapping.Zone, mapping.Model, mapping.Started)
+	return fileBut(c, "") + b.String()
+}
+
+// fileBut is such a file but for where backends come from; more goes into its [door].
+func fileBut(c platform.Config, more string) string {
 	var b strings.Builder
 	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
 	s := c.Settings
-	line("listen = \"127.0.0.1:0\"\nmembers = \"127.0.0.1:0\"\n[door]")
+	line("listen = \"127.0.0.1:0\"\nmembers = \"127.0.0.1:0\"\n[door]\n%s", more)
 	line("number = %d\nof = %d\nmax_attempts = %d\ncancel = %v", s.Me, s.FrontDoors, s.MaxAttempts, s.CanCancel)
 	line("max_retry_after = %q\nmeter_period = %q\nlargest_units = %v\nzone = %q", s.MaxRetryAfter, s.MeterPeriod, s.LargestUnits, s.Zone)
 	line("cold_from = %v\nwarm_within = %q\nfall_multiple = %v\nfall_for = %q", s.ColdFrom, s.WarmWithin, s.FallMultiple, s.FallFor)
@@ -147,8 +161,6 @@
 		line("[[plan]]\nname = %q\nrate = %v\nburst = %v\nopen = %d\nprice = %v", p.Name, p.Rate, p.Burst, p.Open, p.Price)
 		line("ceiling_rate = %v\nceiling_burst = %v\nceiling_slack = %v", p.CeilingRate, p.CeilingBurst, p.CeilingSlack)
 	}
-	line("[consul]\naddress = %q\n[[consul.service]]\nname = %q", agent, consulService)
-	line("cell = %q\nzone = %q\nmodel = %q\nstarted = %q", mapping.Cell, mapping.Zone, mapping.Model, mapping.Started)
 	return b.String()
 }
 
--- a/conformance/fronts_test.go
+++ b/conformance/fronts_test.go
@@ -75,11 +75,12 @@
 	cmd     *exec.Cmd
 	addr    string
 	members string // where it tells of its members
+	grpc    string // where it takes calls over gRPC
 	once    sync.Once
 	err     error
 }
 
-var listens = regexp.MustCompile(`(serving|members) .*listen=(\S+)`)
+var listens = regexp.MustCompile(`(serving|members|grpc) .*listen=(\S+)`)
 
 func startProcess(t testing.TB, config string) Front {
 	t.Helper()
@@ -113,6 +114,8 @@
 		if m := listens.FindStringSubmatch(lines.Text()); m != nil && m[1] == "serving" {
 			p.addr = m[2]
 			break
+		} else if m != nil && m[1] == "grpc" {
+			p.grpc = m[2]
 		} else if m != nil {
 			p.members = m[2]
 		}
@@ -191,6 +194,7 @@
 	"daemon":              {Start: startProcess},
 	"daemon with Consul":  {Start: daemonWithConsul},
 	"library with Consul": {Start: libraryWithConsul},
+	"daemon with gRPC":    {Start: daemonWithGRPC, GRPC: true},
 	"gRPC":                {Start: overGRPC, GRPC: true},
 	"library":             inHost(func(d *pumicecroft.Door) http.Handler { return d }),
 	"nethttp under chi": inHost(func(d *pumicecroft.Door) http.Handler {
--- a/conformance/grpc_test.go
+++ b/conformance/grpc_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"os"
+	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 
@@ -44,6 +48,33 @@
 	return g
 }
 
+// daemonWithGRPC is the daemon by an operator's file, asked over gRPC, with backends that speak it.
+func daemonWithGRPC(t testing.TB, config string) Front {
+	t.Helper()
+	c, err := platform.ParseConfig([]byte(config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := fileBut(c, `protocol = "grpc"`) + fmt.Sprintf("[discovery]\naddress = %q\n", c.Discovery)
+	text += fmt.Sprintf("[grpc]\nlisten = \"127.0.0.1:0\"\nstrict = true\nmax_message = %d\n", pumicecroft.MaxBody)
+	for _, class := range c.Settings.Classes {
+		text += fmt.Sprintf("[[grpc.method]]\nname = \"/%s/%s\"\nclass = %q\n", standin.GRPCService, class.Name, class.Name)
+	}
+	path := filepath.Join(t.TempDir(), "pumicecroft.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := startAs(t, "PUMICECROFT_BY_FILE="+path)
+	p.addr = p.grpc
+	var names []string
+	for _, n := range c.Known.Members().Nodes {
+		names = append(names, n.Name)
+	}
+	slices.Sort(names)
+	knowsAll(t, names, func() ([]pumicecroft.Member, error) { return daemon.AskMembers(t.Context(), p.members) })
+	return p
+}
+
 // deskMethods are the methods of the stand-ins' service: each class is one.
 func deskMethods(door *pumicecroft.Door) map[string]grpcfront.Method {
 	methods := map[string]grpcfront.Method{}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math"
 	"net"
@@ -40,8 +41,12 @@
 	return run(ctx, door, config.Name, config.Listen, config.Limits.ClientConns(), config.Settings.LongestDeadline())
 }
 
-// run serves a door on a socket until ctx ends and all that was taken has its answer.
-func run(ctx context.Context, door *pumicecroft.Door, name, listen string, conns int, longest time.Duration) error {
+// server serves clients until ctx ends, and then until all that it took has its answer.
+type server func(ctx context.Context) error
+
+// run serves a door on a socket, with servers beside it that listen already, until ctx ends or one of them fails, and all
+// that was taken has its answer.
+func run(ctx context.Context, door *pumicecroft.Door, name, listen string, conns int, longest time.Duration, beside ...server) error {
 	defer func() {
 		now, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -49,12 +54,25 @@
 			slog.Warn("ended with requests open", "err", err)
 		}
 	}()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
-		return err
+		stop() // those beside it end at once
+	} else {
+		slog.Info("serving", "name", name, "listen", listener.Addr().String())
+		beside = append(beside, func(ctx context.Context) error {
+			return httpfront.NewServer(door, conns, longest, slog.Default()).Run(ctx, listener)
+		})
+	}
+	errs := make(chan error, len(beside))
+	for _, serve := range beside {
+		go func() { errs <- serve(ctx) }()
+	}
+	for range beside {
+		err = errors.Join(err, <-errs)
+		stop() // without one of them the others are not what was asked for
 	}
-	slog.Info("serving", "name", name, "listen", listener.Addr().String())
-	err = httpfront.NewServer(door, conns, longest, slog.Default()).Run(ctx, listener)
 	slog.Info("ended", "err", err)
 	return err
 }
--- a/internal/daemon/file.go
+++ b/internal/daemon/file.go
@@ -12,6 +12,7 @@
 
 	"pumicecroft"
 	"pumicecroft/consul"
+	"pumicecroft/grpcfront"
 	"pumicecroft/internal/operator"
 	"pumicecroft/internal/platform"
 	"pumicecroft/membership"
@@ -51,10 +52,24 @@
 	if err != nil {
 		return err
 	}
-	door, err := pumicecroft.New(f.Door, append(options, pumicecroft.WithLogger(slog.Default()))...)
+	options = append(options, pumicecroft.WithLogger(slog.Default()))
+	if f.GRPC != nil {
+		f.GRPC.Backends.Log = slog.Default()
+		options = append(options, grpcfront.WithBackends(f.GRPC.Backends))
+	}
+	door, err := pumicecroft.New(f.Door, options...)
 	if err != nil {
 		return err
 	}
+	var beside []server
+	if f.GRPC != nil {
+		ln, err := listenGRPC(door, f)
+		if err != nil {
+			door.Close(ctx)
+			return err
+		}
+		beside = append(beside, ln)
+	}
 	if f.Members != "" {
 		stop, err := tellMembers(door, f.Members)
 		if err != nil {
@@ -78,7 +93,23 @@
 		}()
 		ctx = serving
 	}
-	return run(ctx, door, "", f.Listen, f.ClientConns, f.Door.Settings.LongestDeadline())
+	return run(ctx, door, "", f.Listen, f.ClientConns, f.Door.Settings.LongestDeadline(), beside...)
+}
+
+// listenGRPC makes a file's gRPC front, which listens and does not serve yet.
+func listenGRPC(door *pumicecroft.Door, f operator.File) (server, error) {
+	c := f.GRPC.Front
+	c.Settings, c.Log = &f.Door.Settings, slog.Default()
+	front, err := grpcfront.New(door, c)
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", f.GRPC.Listen)
+	if err != nil {
+		return nil, err
+	}
+	slog.Info("grpc", "listen", ln.Addr().String())
+	return func(ctx context.Context) error { return front.Serve(ctx, ln) }, nil
 }
 
 // register keeps a door in the catalogue until the function that it gives is called.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,6 +24,7 @@
 	Backends    membership.List // of SourceFile
 	Discovery   string          // host:port of the platform's discovery
 	Consul      *Consul
+	GRPC        *GRPC // nil: gRPC is off
 }
 
 const (
@@ -48,6 +49,9 @@
 	readClasses(d, top, &f.Door.Settings)
 	readPlans(d, top, &f.Door.Settings)
 	readMembers(d, top, &f)
+	if s := top.table("grpc"); s.keys != nil {
+		f.GRPC = readGRPC(d, s, &f)
+	}
 	top.done()
 	if err := d.result(); err != nil {
 		return File{}, err
@@ -69,6 +73,15 @@
 	}
 }
 
+// protocol gives what backends speak.
+func (s *section) protocol(usual string) string {
+	if _, there := s.get("protocol"); !there {
+		return usual
+	}
+	names := []string{membership.ProtocolHTTP, membership.ProtocolGRPC}
+	return names[s.oneOf("protocol", usual, names...)]
+}
+
 func readDoor(s *section, f *File) {
 	set, c := &f.Door.Settings, &f.Door
 	set.FrontDoors = s.whole("of", 1, 1, 10_000)
@@ -88,6 +101,7 @@
 	set.FallFor = s.duration("fall_for", 0, 0, time.Hour)
 	set.AnswerGrace = s.duration("answer_grace", 0, 0, time.Minute)
 	set.DrainGrace = s.duration("drain_grace", 2*time.Second, 0, time.Hour)
+	c.Protocol = s.protocol(membership.ProtocolHTTP)
 	c.MaxOpen = s.whole("max_open", 4096, 1, many)
 	c.BackendConns = s.whole("backend_connections", 256, 1, many)
 	f.ClientConns = s.whole("client_connections", 400, 1, many)
@@ -163,7 +177,7 @@
 	for _, s := range top.list("backend") {
 		n := membership.Node{Name: s.text("name", true), Addr: s.text("address", true), Zone: s.text("zone", false),
 			Kind: s.text("model", false), Cell: s.whole("cell", 0, 0, math.MaxInt32), Weight: s.number("weight", 1, 0, any_),
-			Protocol: []string{"", membership.ProtocolHTTP, membership.ProtocolGRPC}[s.oneOf("protocol", "", "", membership.ProtocolHTTP, membership.ProtocolGRPC)]}
+			Protocol: s.protocol("")}
 		names(d, seen, s, n.Name)
 		if n.Addr != "" {
 			checkAddress(d, s, "address", n.Addr)
