--- a/conformance/interop_test.go
+++ b/conformance/interop_test.go
@@ -132,7 +132,7 @@
 	client := testpb.NewTestServiceClient(conn)
 	for name, do := range map[string]func(context.Context, testpb.TestServiceClient, ...grpc.CallOption){
 		"empty_unary": interop.DoEmptyUnaryCall, "large_unary": interop.DoLargeUnaryCall, "server_streaming": interop.DoServerStreaming,
-		"cancel_after_begin": interop.DoCancelAfterBegin,
+		"cancel_after_begin":         interop.DoCancelAfterBegin,
 		"timeout_on_sleeping_server": interop.DoTimeoutOnSleepingServer, "status_code_and_message": interop.DoStatusCodeAndMessage,
 		"special_status_message": interop.DoSpecialStatusMessage, "custom_metadata": interop.DoCustomMetadata,
 	} {
