What is answered inside a 64th of its aim is never late for N: fast backends are not crowded by their speed

Cause: N may be what a second's answers carry without being late, and late is six times the best latency.

Change: the age from which an attempt counts as late is a 64th of the class's aim at the least.

--- a/decision/gateway.go
+++ b/decision/gateway.go
@@ -24,6 +24,7 @@
 	splitSteps = 20          // the split is searched in steps of N over this
 	lateAt     = 0.5         // an attempt older than this share of its class's aim counts as timed out for N
 	lateBase   = 6.0         // ... or older than this multiple of its class's latency at its best
+	lateLeast  = 1.0 / 64    // ... but none that is inside this share of the aim: what is that fast varies by itself
 	minEnded   = 20          // attempts that 5 in 100 is counted over at least
 	byChance   = 3.0         // standard deviations over 5 in 100 that a second's bad outcomes reach by chance
 	slowest    = 1.0 / 4     // least weight of a second in N's means: the noise of one of 300 doors evens out
@@ -53,7 +54,10 @@
 }
 
 // late is the age from which an attempt counts as timed out for N.
-func (c *class) late() float64 { return min(lateAt*c.Aim.Seconds(), lateBase*c.base) }
+func (c *class) late() float64 {
+	aim := c.Aim.Seconds()
+	return min(lateAt*aim, max(lateBase*c.base, lateLeast*aim))
+}
 
 type backend struct {
 	BackendInfo
--- a/decision/gateway_test.go
+++ b/decision/gateway_test.go
@@ -404,11 +404,61 @@
 	if got := c.late(); math.Abs(got-lateBase*0.1) > 1e-9 {
 		t.Errorf("late from %v s, want %v times the best latency", got, lateBase)
 	}
+	if c.base = 0.001; c.late() != 4.0/64 {
+		t.Errorf("late from %v s, want a 64th of the aim", c.late())
+	}
 	if c.base = 3; c.late() != 2 {
 		t.Errorf("late from %v s, want half the aim", c.late())
 	}
 }
 
+// Backends that answer at once hold as many as ask at once: that an answer takes a few times as long as the best, a
+// millisecond, says nothing of a queue there.
+func TestFastBackendsAreNotCrowdedByTheirSpeed(t *testing.T) {
+	r := newRig(t, testSettings(), fleet(1)...)
+	type out struct {
+		id RequestID
+		b  BackendID
+		at time.Duration
+	}
+	refused, asked := 0, 0
+	var flying []out
+	ask := func() bool {
+		asked++
+		id, as := r.ask("safe", "wide", CustomerID(asked)) // each has quota enough
+		for _, s := range sends(as) {
+			flying = append(flying, out{id, s.Backend, r.now})
+			return true
+		}
+		refused++
+		return false
+	}
+	answer := func(took time.Duration) {
+		for len(flying) > 0 && r.now-flying[0].at >= took {
+			o := flying[0]
+			flying = flying[1:]
+			r.do(Outcome{Request: o.id, Backend: o.b, Result: Answered, Took: took, Final: true})
+		}
+	}
+	for range 4 { // seconds
+		for step := range 10_000 { // of 0.1 ms
+			r.now += ms / 10
+			if step%300 < 100 { // a lull, in which an answer takes 0.1 ms
+				answer(ms / 10)
+				ask()
+				continue
+			}
+			answer(ms) // 64 clients, each asking anew with its answer
+			for len(flying) < 64 && ask() {
+			}
+		}
+		r.do(Timer{Token: 0})
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d were refused, N is %v", refused, asked, r.g.n)
+	}
+}
+
 func TestDrainAndRemovalStopSendsAtOnce(t *testing.T) {
 	two := fleet(2)
 	for name, list := range map[string]BackendList{
