--- a/conformance/grpc_test.go
+++ b/conformance/grpc_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	front, err := grpcfront.New(door, grpcfront.Config{Methods: deskMethods(door), Strict: true, MaxMessage: pumicecroft.MaxBody, Settings: &dc.Settings})
+	front, err := grpcfront.New(door, grpcfront.Config{Methods: deskMethods(door), Strict: true, MaxMessage: pumicecroft.MaxBody})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/conformance/interop_test.go
+++ b/conformance/interop_test.go
@@ -109,7 +109,7 @@
 	}
 	defer door.Close(t.Context())
 	const name = "/grpc.testing.TestService/"
-	front, err := grpcfront.New(door, grpcfront.Config{Settings: &set, Methods: map[string]grpcfront.Method{name + "EmptyCall": {Class: "safe"},
+	front, err := grpcfront.New(door, grpcfront.Config{Methods: map[string]grpcfront.Method{name + "EmptyCall": {Class: "safe"},
 		name + "UnaryCall": {Class: "unsafe"}, name + "StreamingOutputCall": {Class: "safe", Streaming: true},
 		name + "FullDuplexCall": {Class: "unsafe", Streaming: true}, name + "StreamingInputCall": {Class: "safe"}}})
 	if err != nil {
--- a/docs_test.go
+++ b/docs_test.go
@@ -12,7 +12,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range []string{"nethttp", "chi", "gin"} {
+	for _, name := range []string{"nethttp", "chi", "gin", "grpc"} {
 		program, err := os.ReadFile("examples/" + name + "/main.go")
 		if err != nil {
 			t.Fatal(err)
--- a/door.go
+++ b/door.go
@@ -456,6 +456,9 @@
 	return fmt.Errorf("%w: %s: %.40q", ErrBadRequest, what, fmt.Sprint(value))
 }
 
+// Settings are what the Door was made with, defaults filled in.
+func (d *Door) Settings() decision.Settings { return d.config.Settings }
+
 // Classes names the classes of the Settings, in their order.
 func (d *Door) Classes() []string {
 	var names []string
--- a/grpcfront/bench_test.go
+++ b/grpcfront/bench_test.go
@@ -94,7 +94,7 @@
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { door.Close(context.Background()) })
-	front, err := New(door, Config{Methods: deskMethods, Settings: &set})
+	front, err := New(door, Config{Methods: deskMethods})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/grpcfront/front_test.go
+++ b/grpcfront/front_test.go
@@ -232,6 +232,7 @@
 			if n := len(r.ledger.Of(c.id)); n != 1 || r.ledger.Effects(c.key) != 1 {
 				t.Errorf("%d attempts, %d effects", n, r.ledger.Effects(c.key))
 			}
+			await(t, "the backend to hear of it", func() bool { return r.backends[0].Resets()+r.backends[1].Resets() == 1 })
 			await(t, "the end of all that was open", func() bool { return r.door.Open() == 0 })
 		})
 	}
@@ -368,6 +369,37 @@
 	}
 }
 
+// A long answer comes whole and in order to a client that reads it, slowly at times: far more of it than any window holds.
+func TestALongStream(t *testing.T) {
+	r := newRig(t, func(o *options) { o.act = always(standin.GRPCEndless) })
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	c := r.call("Watch")
+	cctx, cancel := c.context(ctx)
+	defer cancel()
+	s, err := r.client.NewStream(cctx, watching, c.method)
+	if err == nil {
+		err = errors.Join(s.SendMsg(message_(c.text)), s.CloseSend())
+	}
+	for n := 0; err == nil && n < 1000; n++ {
+		var m framed
+		if err = s.RecvMsg(&m); err == nil && len(m) != 5+standin.GRPCEndlessBytes {
+			t.Fatalf("message %d has %d bytes", n, len(m))
+		}
+		if n%200 == 0 {
+			time.Sleep(20 * time.Millisecond) // so that windows close
+		}
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := r.backends[0].Sent() + r.backends[1].Sent(); got > 1000*(5+standin.GRPCEndlessBytes)+2<<20 {
+		t.Errorf("%d bytes were sent of which 1000 messages were read", got)
+	}
+	leave()
+	await(t, "the end of it", func() bool { return r.door.Open() == 0 })
+}
+
 // A streamed answer ends with its time, whatever the backend does, and the client hears so before its own.
 func TestAStreamThatRunsOut(t *testing.T) {
 	for _, act := range []standin.GRPCAct{standin.GRPCStreamHang, standin.GRPCEndless} {
--- a/grpcfront/grpcfront.go
+++ b/grpcfront/grpcfront.go
@@ -95,9 +95,7 @@
 	ReadTimeout time.Duration
 	// MaxMessage bounds a call's message, in bytes; 4 MiB.
 	MaxMessage int
-	// Effects of the Door's classes: what clients are told of a failure depends on them.
-	Settings *decision.Settings
-	Log      *slog.Logger // nil: silence
+	Log        *slog.Logger // nil: silence
 
 	// What follows is for Serve and ServerOptions.
 
@@ -116,30 +114,27 @@
 type Front struct {
 	door    *pumicecroft.Door
 	config  Config
+	set     decision.Settings // the Door's
 	names   Names
 	effects map[string]decision.Effect
 	log     *slog.Logger
 }
 
-// New makes a Front for a Door that was made with WithBackends and the settings of the Config. The error is a
-// pumicecroft.ErrConfig.
+// New makes a Front for a Door that was made with WithBackends. The error is a pumicecroft.ErrConfig.
 func New(door *pumicecroft.Door, c Config) (*Front, error) {
 	bad := func(format string, args ...any) (*Front, error) {
 		return nil, fmt.Errorf("%w: grpcfront: %s", pumicecroft.ErrConfig, fmt.Sprintf(format, args...))
 	}
-	if c.Settings == nil {
-		return bad("no Settings")
-	}
 	if c.ReadTimeout < 0 || c.MaxMessage < 0 || c.Conns < 0 || c.Streams < 0 || c.MaxMessage > math.MaxInt32 || c.Streams > math.MaxInt32 {
 		return bad("a bound below 0, or over 2 GiB")
 	}
 	c.ReadTimeout, c.MaxMessage = cmp.Or(c.ReadTimeout, defaultReadTimeout), cmp.Or(c.MaxMessage, defaultMaxMessage)
 	c.Conns, c.Streams = cmp.Or(c.Conns, defaultConns), cmp.Or(c.Streams, defaultStreams)
-	f := &Front{door: door, config: c, names: cmp.Or(c.Names, PlatformNames), effects: map[string]decision.Effect{}, log: c.Log}
+	f := &Front{door: door, config: c, set: door.Settings(), names: cmp.Or(c.Names, PlatformNames), effects: map[string]decision.Effect{}, log: c.Log}
 	if f.log == nil {
 		f.log = slog.New(slog.DiscardHandler)
 	}
-	for _, class := range c.Settings.Classes {
+	for _, class := range f.set.Classes {
 		f.effects[class.Name] = class.Effect
 	}
 	if err := c.Check(door.Classes()); err != nil {
@@ -213,7 +208,6 @@
 // read makes a request of what a call tells about itself; ctx is the call's.
 func (f *Front) read(ctx context.Context, m Method, md metadata.MD) (pumicecroft.Request, error) {
 	r := pumicecroft.Request{Class: m.Class}
-	set := f.config.Settings
 	var values [6]string
 	for i, name := range f.names.all() {
 		if v := md[name]; name != "" && len(v) > 1 {
@@ -250,7 +244,7 @@
 		r.Units = v
 	}
 	if words != "" || f.config.Strict && f.names.Terms != "" {
-		t, ok := terms.Parse(words, set)
+		t, ok := terms.Parse(words, &f.set)
 		if !ok {
 			return r, badCall(f.names.Terms, words)
 		}
--- a/grpcfront/host_test.go
+++ b/grpcfront/host_test.go
@@ -138,14 +138,13 @@
 		config Config
 		want   string
 	}{
-		"no methods":    {Config{Settings: &set}, "no methods"},
-		"no settings":   {Config{Methods: deskMethods}, "no Settings"},
-		"unknown class": {Config{Settings: &set, Methods: map[string]Method{"/a.B/C": {Class: "nap"}}}, `"nap"`},
-		"no method":     {Config{Settings: &set, Methods: map[string]Method{"a.B/C": {Class: "look"}}}, `"a.B/C" is no method`},
-		"wildcard":      {Config{Settings: &set, Methods: map[string]Method{"/a.*/C": {Class: "look"}}}, `"/a.*/C" is no method`},
-		"a name twice":  {Config{Settings: &set, Methods: deskMethods, Names: Names{Customer: "x", Plan: "x"}}, `"x" stands for two things`},
-		"gRPC's name":   {Config{Settings: &set, Methods: deskMethods, Names: Names{Customer: "grpc-status"}}, `"grpc-status"`},
-		"below 0":       {Config{Settings: &set, Methods: deskMethods, MaxMessage: -1}, "below 0"},
+		"no methods":    {Config{}, "no methods"},
+		"unknown class": {Config{Methods: map[string]Method{"/a.B/C": {Class: "nap"}}}, `"nap"`},
+		"no method":     {Config{Methods: map[string]Method{"a.B/C": {Class: "look"}}}, `"a.B/C" is no method`},
+		"wildcard":      {Config{Methods: map[string]Method{"/a.*/C": {Class: "look"}}}, `"/a.*/C" is no method`},
+		"a name twice":  {Config{Methods: deskMethods, Names: Names{Customer: "x", Plan: "x"}}, `"x" stands for two things`},
+		"gRPC's name":   {Config{Methods: deskMethods, Names: Names{Customer: "grpc-status"}}, `"grpc-status"`},
+		"below 0":       {Config{Methods: deskMethods, MaxMessage: -1}, "below 0"},
 	} {
 		if _, err := New(door, c.config); !errors.Is(err, pumicecroft.ErrConfig) || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: %v", name, err)
--- a/grpcfront/memory_test.go
+++ b/grpcfront/memory_test.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	front, err := New(door, Config{Methods: deskMethods, Settings: &set})
+	front, err := New(door, Config{Methods: deskMethods})
 	if err != nil {
 		return err
 	}
--- a/grpcfront/rig_test.go
+++ b/grpcfront/rig_test.go
@@ -94,7 +94,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o.config.Settings = &o.settings
 	if r.front, err = New(r.door, o.config); err != nil {
 		t.Fatal(err)
 	}
--- a/grpcfront/server.go
+++ b/grpcfront/server.go
@@ -83,7 +83,7 @@
 	}
 	graceful := make(chan struct{})
 	go func() { s.GracefulStop(); close(graceful) }()
-	late := time.NewTimer(f.config.Settings.LongestDeadline() + time.Second)
+	late := time.NewTimer(f.set.LongestDeadline() + time.Second)
 	defer late.Stop()
 	select {
 	case <-graceful:
--- a/internal/daemon/file.go
+++ b/internal/daemon/file.go
@@ -99,7 +99,7 @@
 // listenGRPC makes a file's gRPC front, which listens and does not serve yet.
 func listenGRPC(door *pumicecroft.Door, f operator.File) (server, error) {
 	c := f.GRPC.Front
-	c.Settings, c.Log = &f.Door.Settings, slog.Default()
+	c.Log = slog.Default()
 	front, err := grpcfront.New(door, c)
 	if err != nil {
 		return nil, err
--- a/internal/grpcwire/call_test.go
+++ b/internal/grpcwire/call_test.go
@@ -53,6 +53,8 @@
 			c.Data(message(10)[:8], false)
 		case "flag":
 			c.Data([]byte{2, 0, 0, 0, 0}, false)
+		case "packed":
+			c.Data([]byte{1, 0, 0, 0, 0}, false)
 		case "last":
 			c.Data(message(10), true)
 		case "end":
@@ -132,6 +134,7 @@
 		"head last":             {decision.Unknown, MayHaveRun}, // trailers cut off
 		"head long end=0":       {decision.Unknown, Ran},
 		"head flag end=0":       {decision.Unknown, Ran},
+		"head packed end=0":     {decision.Unknown, Ran}, // no encoding was offered
 		"head=502 lost":         {decision.AnsweredErr, MayHaveRun},
 		"head=html msg":         {decision.Unknown, MayHaveRun},
 		"msg":                   {decision.Unknown, MayHaveRun}, // data before a head
--- a/internal/standin/grpc.go
+++ b/internal/standin/grpc.go
@@ -87,6 +87,7 @@
 	ended bool
 	total int // connections so far
 	sent  atomic.Int64
+	reset atomic.Int64
 }
 
 // StartGRPC starts one on a loopback port of the system's choosing.
@@ -110,6 +111,9 @@
 	return len(b.conns), b.total
 }
 
+// Resets tells how many streams the other side has reset while they were open.
+func (b *GRPCBackend) Resets() int64 { return b.reset.Load() }
+
 // Sent tells how many bytes of answers' bodies it has sent.
 func (b *GRPCBackend) Sent() int64 { return b.sent.Load() }
 
@@ -272,6 +276,7 @@
 	case *http2.RSTStreamFrame:
 		if s := c.streams[f.StreamID]; s != nil {
 			s.reset = true
+			c.b.reset.Add(1)
 			s.leave()
 			c.opened.Broadcast()
 		}
