--- a/grpcfront/final.go
+++ b/grpcfront/final.go
@@ -105,7 +105,7 @@
 // hopByHop tells whether metadata is between two neighbours only, and so goes no further.
 func hopByHop(name string) bool {
 	switch name {
-	case "content-type", "user-agent", "te", "host", "connection", "proxy-connection", "keep-alive", "transfer-encoding", "upgrade", "trailer", "date":
+	case "content-type", "user-agent", "te", "host", "connection", "proxy-connection", "keep-alive", "transfer-encoding", "upgrade", "trailer":
 		return true
 	}
 	return strings.HasPrefix(name, ":") || strings.HasPrefix(name, "grpc-") && name != "grpc-trace-bin" && name != "grpc-tags-bin" &&
