Less of the same: one constructor for gRPC's backends, no dead state in the simulation

Cause: read again. ServeFile left gRPC's listener open when the members' address could not be listened on.

Change: each has one place or is gone; gRPC listens last, after which nothing can fail before serving. A refused start and everything else behave as before.

--- a/cmd/pumicecroft-sim/main.go
+++ b/cmd/pumicecroft-sim/main.go
@@ -13,6 +13,7 @@
 	"io"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,7 +48,7 @@
 	if f.NArg() > 0 {
 		return fmt.Errorf("%q is one word too many", f.Arg(0))
 	}
-	if *mutant != "" && !known(*mutant) {
+	if *mutant != "" && !slices.Contains(sim.Mutants, *mutant) {
 		return fmt.Errorf("there is no mutant %q", *mutant)
 	}
 	o := sim.Options{Mutant: *mutant}
@@ -70,15 +71,6 @@
 	return fmt.Errorf("there is no command %q; there are run, replay, shrink and mutants", args[0])
 }
 
-func known(mutant string) bool {
-	for _, m := range sim.Mutants {
-		if m == mutant {
-			return true
-		}
-	}
-	return false
-}
-
 // tell prints what came of one run.
 func tell(r sim.Result, out io.Writer) error {
 	fmt.Fprintf(out, "seed %d: %d steps, %.1f s, trace %016x; served %d, refused %d, failed %d, lost with their doors %d\n%v", r.Seed, r.Steps,
--- a/grpcfront/front.go
+++ b/grpcfront/front.go
@@ -66,9 +66,9 @@
 		}
 	}
 	load.Metadata = onward(md)
-	if f.names.ID != "" && len(md[f.names.ID]) == 0 {
+	if f.config.Names.ID != "" && len(md[f.config.Names.ID]) == 0 {
 		req = req.WithID(rand.Uint64())
-		load.Metadata = append(load.Metadata, grpcback.Field{Name: f.names.ID, Value: fmt.Sprintf("%016x", req.ID)})
+		load.Metadata = append(load.Metadata, grpcback.Field{Name: f.config.Names.ID, Value: fmt.Sprintf("%016x", req.ID)})
 	}
 	var out *sender
 	if m.Streaming {
--- a/grpcfront/grpcfront.go
+++ b/grpcfront/grpcfront.go
@@ -2,7 +2,7 @@
 // attempts at backends that speak gRPC, by the same decisions, under the same rules and out of the same quotas as its
 // requests over HTTP/1.1. It knows no messages: any service is carried, by its methods' names.
 //
-// Backends, given to pumicecroft.WithProtocol, is how attempts are made. A Front answers calls: as the handler of unknown
+// WithBackends, an option of the Door's, is how attempts are made. A Front answers calls: as the handler of unknown
 // services or as an interceptor in a host's own grpc.Server, next to the host's services, or by Serve in one of its own.
 // Crossing HTTP and gRPC is out: a call goes only to backends that speak gRPC.
 //
@@ -29,7 +29,6 @@
 
 	"pumicecroft"
 	"pumicecroft/decision"
-	"pumicecroft/internal/drive"
 	"pumicecroft/internal/grpcback"
 	"pumicecroft/internal/terms"
 	"pumicecroft/membership"
@@ -50,13 +49,8 @@
 
 // WithBackends lets a Door reach backends that speak gRPC. They make each attempt once and never again by themselves.
 func WithBackends(c BackendConfig) pumicecroft.Option {
-	return pumicecroft.WithProtocol(membership.ProtocolGRPC, Backends(c))
-}
-
-// Backends are what WithBackends gives to a Door.
-func Backends(c BackendConfig) drive.Backends {
-	return grpcback.New(grpcback.Config{Conns: c.Conns, Streams: c.Streams, Connect: c.Connect, Idle: c.Idle, MaxMessage: c.MaxMessage,
-		LoadColumns: c.LoadColumns, Log: c.Log, Dial: c.Dial})
+	return pumicecroft.WithProtocol(membership.ProtocolGRPC, grpcback.New(grpcback.Config{Conns: c.Conns, Streams: c.Streams, Connect: c.Connect,
+		Idle: c.Idle, MaxMessage: c.MaxMessage, LoadColumns: c.LoadColumns, Log: c.Log, Dial: c.Dial}))
 }
 
 // Method says what becomes of a method's calls.
@@ -115,7 +109,6 @@
 	door    *pumicecroft.Door
 	config  Config
 	set     decision.Settings // the Door's
-	names   Names
 	effects map[string]decision.Effect
 	log     *slog.Logger
 }
@@ -130,7 +123,8 @@
 	}
 	c.ReadTimeout, c.MaxMessage = cmp.Or(c.ReadTimeout, defaultReadTimeout), cmp.Or(c.MaxMessage, defaultMaxMessage)
 	c.Conns, c.Streams = cmp.Or(c.Conns, defaultConns), cmp.Or(c.Streams, defaultStreams)
-	f := &Front{door: door, config: c, set: door.Settings(), names: cmp.Or(c.Names, PlatformNames), effects: map[string]decision.Effect{}, log: c.Log}
+	c.Names = cmp.Or(c.Names, PlatformNames)
+	f := &Front{door: door, config: c, set: door.Settings(), effects: map[string]decision.Effect{}, log: c.Log}
 	if f.log == nil {
 		f.log = slog.New(slog.DiscardHandler)
 	}
@@ -209,7 +203,7 @@
 func (f *Front) read(ctx context.Context, m Method, md metadata.MD) (pumicecroft.Request, error) {
 	r := pumicecroft.Request{Class: m.Class}
 	var values [6]string
-	for i, name := range f.names.all() {
+	for i, name := range f.config.Names.all() {
 		if v := md[name]; name != "" && len(v) > 1 {
 			return r, badCall(name, strings.Join(v, ", ")) // it could be read in two ways, here and behind us
 		} else if name != "" && len(v) == 1 {
@@ -221,7 +215,7 @@
 	if !known {
 		var err error
 		if who.Customer, err = f.customer(customer); err != nil {
-			return r, badCall(f.names.Customer, customer)
+			return r, badCall(f.config.Names.Customer, customer)
 		}
 		who.Plan = plan
 	}
@@ -229,24 +223,24 @@
 	if id != "" || f.config.Strict {
 		n, err := terms.Hex(id)
 		if err != nil {
-			return r, badCall(f.names.ID, id)
+			return r, badCall(f.config.Names.ID, id)
 		}
 		r = r.WithID(n)
 	}
 	if f.config.Strict && key != "" && f.effects[m.Class] == decision.Safe {
-		return r, badCall(f.names.Key, key)
+		return r, badCall(f.config.Names.Key, key)
 	}
 	if units != "" {
 		v, err := strconv.ParseFloat(units, 64)
 		if err != nil || !(v > 0) {
-			return r, badCall(f.names.Units, units)
+			return r, badCall(f.config.Names.Units, units)
 		}
 		r.Units = v
 	}
-	if words != "" || f.config.Strict && f.names.Terms != "" {
+	if words != "" || f.config.Strict && f.config.Names.Terms != "" {
 		t, ok := terms.Parse(words, &f.set)
 		if !ok {
-			return r, badCall(f.names.Terms, words)
+			return r, badCall(f.config.Names.Terms, words)
 		}
 		r.Units, r.Spread, r.FirstDoor = t.Units, t.Spread, t.First
 	}
--- a/internal/daemon/file.go
+++ b/internal/daemon/file.go
@@ -61,22 +61,22 @@
 	if err != nil {
 		return err
 	}
-	var beside []server
-	if f.GRPC != nil {
-		ln, err := listenGRPC(door, f)
+	if f.Members != "" {
+		stop, err := tellMembers(door, f.Members)
 		if err != nil {
 			door.Close(ctx)
 			return err
 		}
-		beside = append(beside, ln)
+		defer stop()
 	}
-	if f.Members != "" {
-		stop, err := tellMembers(door, f.Members)
+	var beside []server
+	if f.GRPC != nil {
+		serve, err := listenGRPC(door, f)
 		if err != nil {
 			door.Close(ctx)
 			return err
 		}
-		defer stop()
+		beside = append(beside, serve)
 	}
 	if f.Consul != nil && f.Consul.Register != nil {
 		serving, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/sim/backend.go
+++ b/internal/sim/backend.go
@@ -52,7 +52,7 @@
 	return share > 0 && b.w.chance(append(of, uint64(k), uint64(b.number))...).Float64() < share
 }
 
-// arrive is an attempt that has come whole; answer is called with how it is answered, or never. It tells whether it ran.
+// arrive is an attempt that has come whole; answer is called with how it is answered, or never.
 func (b *backend) arrive(try *attempt, answer func(decision.Result)) {
 	if !b.up {
 		return // the connection is gone with the process; the door's side says so
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -11,7 +11,6 @@
 	ceilingRate   = 20.0
 	ceilingBurst  = 30.0
 	ceilingSlack  = 3.0
-	answerMargin  = 0 // a final answer comes before the client's time is up
 	flagshipAsker = 0 // the customer whose plan has a ceiling
 )
 
@@ -25,7 +24,6 @@
 	epoch    int // of the door's process that took it
 	arrived  time.Duration
 	timeout  time.Duration
-	left     bool
 	finals   int
 	verdict  string
 	runs     int // attempts that ran
@@ -38,10 +36,9 @@
 	w     *world
 	asks  []*ask
 	store struct { // of the flagship's ceiling
-		has    float64
-		at     time.Duration
-		begun  bool
-		lowest float64
+		has   float64
+		at    time.Duration
+		begun bool
 	}
 	served, refused, failed, lost int
 	counted, gone                 int // attempts
@@ -51,7 +48,7 @@
 func (c *check) final(a *ask, verdict string) {
 	a.finals++
 	a.verdict = verdict
-	late := c.w.now > a.arrived+a.timeout-answerMargin
+	late := c.w.now > a.arrived+a.timeout
 	switch {
 	case a.finals > 1:
 		c.w.broken("one final answer", "ask %x has %d", a.id, a.finals)
@@ -89,7 +86,6 @@
 		}
 		s.has = min(ceilingBurst, s.has+ceilingRate*(c.w.now-s.at).Seconds()) - 1
 		s.at = c.w.now
-		s.lowest = min(s.lowest, s.has)
 		if s.has < -ceilingSlack {
 			c.w.broken("ceilings hold", "ask %x takes the flagship's store to %.2f", a.id, s.has)
 		}
--- a/internal/sim/door.go
+++ b/internal/sim/door.go
@@ -119,12 +119,6 @@
 	})
 }
 
-// list is discovery's word, as it reaches the process.
-func (d *door) list(l membership.List) {
-	d.last = merge(d.last, l)
-	d.heard(l)
-}
-
 // merge keeps on disk what is known of all nodes.
 func merge(all, news membership.List) membership.List {
 	var out []membership.Node
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -337,8 +337,9 @@
 	for _, d := range r.doors {
 		lag := between(r.chance(6, uint64(d.number), uint64(r.now)), 5*time.Millisecond, 300*time.Millisecond) + d.lag
 		r.after(lag, func() {
-			d.last = merge(d.last, membership.List{Nodes: []membership.Node{n}}) // discovery holds it, whoever listens
-			d.do(func() { d.heard(membership.List{Nodes: []membership.Node{n}}) })
+			news := membership.List{Nodes: []membership.Node{n}}
+			d.last = merge(d.last, news) // discovery holds it, whoever listens
+			d.do(func() { d.heard(news) })
 		})
 	}
 }
