An attempt over HTTP/1.1 is a state machine, its pool another: bytes in, outcome out

Need: what an attempt's end proves, when a dead kept connection is made up for, and what becomes of connections were decided in goroutines between reads and locks, so the seeded world had a second driver of its own in their place and could not see a bug in them.

--- a/internal/httpback/plain.go
+++ b/internal/httpwire/plain.go
@@ -1,61 +1,55 @@
-package httpback
+package httpwire
 
 import (
-	"bufio"
 	"bytes"
 	"strconv"
 )
 
-// plainHead is what is wanted of the head of a plain answer.
-type plainHead struct{ contentType, use, load string }
-
 // plainAnswer reads the head of an answer that is as plain as nearly all are: 200, its head here whole, a length,
-// nothing about the connection or the framing. It gives room for the body, which is next to be read. Of all others
-// it takes nothing and says no, and http.ReadResponse, which knows all of HTTP, has them. That one costs some 3 us
-// and nine allocations more; TestPlainAnswers holds the two together.
-func plainAnswer(r *bufio.Reader) (body []byte, head plainHead, ok bool) {
-	buffered, _ := r.Peek(r.Buffered())
+// nothing about the connection or the framing. It gives room for the body and what has come behind the head. Of all others
+// it says no, and http.ReadResponse, which knows all of HTTP, has them. That one costs some 3 us and nine allocations more;
+// TestPlainAnswers holds the two together.
+func plainAnswer(raw []byte, h *head) (rest, body []byte, ok bool) {
 	const status = "HTTP/1.1 200 OK\r\n"
-	if len(buffered) < len(status) || string(buffered[:len(status)]) != status {
-		return nil, head, false
+	if len(raw) < len(status) || string(raw[:len(status)]) != status {
+		return nil, nil, false
 	}
-	end := bytes.Index(buffered, []byte("\r\n\r\n"))
+	end := bytes.Index(raw, []byte("\r\n\r\n"))
 	if end < 0 {
-		return nil, head, false
+		return nil, nil, false
 	}
+	found := head{status: 200}
 	length := -1
-	for lines := buffered[min(len(status), end+2) : end+2]; len(lines) > 0; {
+	for lines := raw[min(len(status), end+2) : end+2]; len(lines) > 0; {
 		var line []byte
 		n := bytes.Index(lines, []byte("\r\n"))
 		line, lines = lines[:n], lines[n+2:]
-		name, value, found := bytes.Cut(line, []byte(":"))
+		name, value, colon := bytes.Cut(line, []byte(":"))
 		value = bytes.Trim(value, " \t")
-		if !found || !plainName(name) || !plainValue(value) {
-			return nil, head, false
+		if !colon || !plainName(name) || !plainValue(value) {
+			return nil, nil, false
 		}
 		switch {
 		case is(name, "Content-Length"):
 			if length >= 0 || len(value) == 0 || len(value) > 6 || bytes.Trim(value, "0123456789") != nil {
-				return nil, head, false
+				return nil, nil, false
 			}
 			length, _ = strconv.Atoi(string(value))
 		case is(name, "Transfer-Encoding"), is(name, "Connection"), is(name, "Trailer"):
-			return nil, head, false
+			return nil, nil, false
 		case is(name, "Content-Type"):
-			first(&head.contentType, value)
+			first(&found.contentType, value)
 		case is(name, "X-RateLimit-Used"):
-			first(&head.use, value)
+			first(&found.use, value)
 		case is(name, "Server-Load"):
-			first(&head.load, value)
+			first(&found.load, value)
 		}
 	}
 	if length < 0 || length > MaxBody {
-		return nil, head, false
-	}
-	if _, err := r.Discard(end + 4); err != nil {
-		return nil, head, false
+		return nil, nil, false
 	}
-	return make([]byte, length), head, true
+	*h = found
+	return raw[end+4:], make([]byte, length), true
 }
 
 // is compares a name with one of the names above, as names are compared.
