--- a/door.go
+++ b/door.go
@@ -36,16 +36,8 @@
 // MaxBody is the most for a body, of a request or an answer, in bytes.
 const MaxBody = httpback.MaxBody
 
-const (
-	// A caller's time counts from when it asked, which over a network is before we see it, and its answer must
-	// reach it before that time is up. So the decision module is told of less time by the first margin, and the
-	// last moment, at which a request without an answer is answered here, lies the second margin before the end.
-	patienceMargin   = 40 * time.Millisecond
-	lastMomentMargin = 20 * time.Millisecond
-)
-
 // LeastTimeout is the time that a caller must have left for an attempt to be made for it; one with less is refused.
-const LeastTimeout = patienceMargin
+const LeastTimeout = core.PatienceMargin
 
 // Request is what a caller asks of the backends.
 type Request struct {
@@ -233,8 +225,8 @@
 		return
 	}
 	clock := d.driver.Clock()
-	if k := d.keepers[source]; k != nil {
-		k.heard(&list)
+	if k := d.keepers[source]; k != nil && k.recall != nil {
+		k.recall.Heard(&list)
 	}
 	changes, bad := d.members.Report(clock.Now(), source, list, clock.Unix)
 	if list.Failed != nil {
@@ -345,8 +337,8 @@
 		return nil, 0, left(ctx)
 	}
 	req := decision.Request{ID: decision.RequestID(r.ID), Customer: decision.CustomerID(r.Customer), Class: r.Class, Plan: r.Plan,
-		Units: r.Units, Patience: r.Timeout - patienceMargin, FirstDoor: r.FirstDoor, Spread: r.Spread, Protocol: load.Protocol()}
-	a, err := d.driver.Serve(ctx, req, r.Timeout-lastMomentMargin, load)
+		Units: r.Units, Patience: r.Timeout - core.PatienceMargin, FirstDoor: r.FirstDoor, Spread: r.Spread, Protocol: load.Protocol()}
+	a, err := d.driver.Serve(ctx, req, r.Timeout-core.LastMargin, load)
 	if err != nil {
 		if known := notLetIn[err]; known != nil {
 			return nil, 0, known
--- a/door_http_test.go
+++ b/door_http_test.go
@@ -206,7 +206,7 @@
 	if res.StatusCode != http.StatusGatewayTimeout {
 		t.Errorf("%s, want the last moment's answer", res.Status)
 	}
-	if req := testkit.Next[decision.Request](t, g); req.Patience <= 0 || req.Patience > 500*time.Millisecond-patienceMargin {
+	if req := testkit.Next[decision.Request](t, g); req.Patience <= 0 || req.Patience > 500*time.Millisecond-core.PatienceMargin {
 		t.Errorf("the gateway was told of %v", req.Patience)
 	}
 	testkit.Next[decision.ClientGone](t, g)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,6 +28,14 @@
 	ErrClosed   = errors.New("no further requests are taken")
 )
 
+// A caller's time counts from when it asked, which over a network is before we see it, and its answer must reach it before
+// that time is up. So the decision module is told of less time by PatienceMargin, and the last moment, at which a request
+// without an answer is answered here, lies LastMargin before the end.
+const (
+	PatienceMargin = 40 * time.Millisecond
+	LastMargin     = 20 * time.Millisecond
+)
+
 // Decider decides. *decision.Gateway is the one that ships; tests script others.
 type Decider interface {
 	Handle(now time.Duration, ev decision.Event, actions []decision.Action) []decision.Action
@@ -201,6 +209,12 @@
 	return n
 }
 
+// Timers is how many things are waited for: the decision module's, and those of requests that are open.
+func (c *Core) Timers() int { return len(c.timers) }
+
+// Remembered is how many ids are remembered so that their effects do not happen again.
+func (c *Core) Remembered() int { return len(c.idFIFO) }
+
 // Strays is how many actions the decision module asked for that fit no request here. Any is an error of that
 // module; they are passed over.
 func (c *Core) Strays() uint64 { return c.strays }
--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 )
 
 const (
@@ -36,7 +37,7 @@
 }
 
 // reader reads one answer from bytes as they come, in pieces however cut. Nothing is read twice but what net/http's reader
-// wants whole: it is tried again with each line that has come, until it has an answer.
+// wants whole: it is tried again with each empty line that has come, until it has an answer.
 type reader struct {
 	method string
 	raw    []byte // as it came, but for a plain answer's body
@@ -89,7 +90,7 @@
 		r.extra = len(rest) > r.got
 		return r.got == len(body), nil
 	}
-	if len(r.raw) >= r.need && (r.need > 0 || bytes.IndexByte(r.raw[r.tried:], '\n') >= 0) {
+	if len(r.raw) >= r.need && (r.need > 0 || emptyLine(r.raw[max(0, r.tried-2):])) {
 		r.tried = len(r.raw)
 		if whole, err = r.try(); whole || err != nil {
 			return whole, err
@@ -101,23 +102,57 @@
 	return false, nil
 }
 
+// emptyLine tells whether there is one, as every head and the last of all chunks end with. An empty line that begins a head
+// makes it a bad one.
+func emptyLine(text []byte) bool {
+	return bytes.Contains(text, []byte("\n\r\n")) || bytes.Contains(text, []byte("\n\n")) || bytes.HasPrefix(text, []byte("\r\n")) ||
+		bytes.HasPrefix(text, []byte("\n"))
+}
+
+// headEnd is where a head ends, behind its empty line; -1: it is not whole. net/http takes a head that is cut within a line
+// for a bad one.
+func headEnd(text []byte) int {
+	for from := 0; ; {
+		n := bytes.IndexByte(text[from:], '\n')
+		if n < 0 {
+			return -1
+		}
+		if line := text[from : from+n]; len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			return from + n + 1
+		}
+		from += n + 1
+	}
+}
+
+// short tells whether an answer may only not be whole yet.
+func short(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		strings.Contains(err.Error(), "trailer") // that of chunks, which net/http has no error values for
+}
+
 // try has net/http read what has come.
 func (r *reader) try() (whole bool, err error) {
-	short := func(err error) (bool, error) {
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	from := 0
+	var res *http.Response
+	var text *bytes.Reader
+	var in *bufio.Reader
+	for {
+		end := headEnd(r.raw[from:])
+		if end < 0 {
 			return false, nil
 		}
-		return false, err
-	}
-	text := bytes.NewReader(r.raw)
-	in := bufio.NewReader(text)
-	asked := http.Request{Method: r.method}
-	res, err := http.ReadResponse(in, &asked)
-	for err == nil && res.StatusCode < 200 && res.StatusCode != http.StatusSwitchingProtocols {
-		res, err = http.ReadResponse(in, &asked)
-	}
-	if err != nil {
-		return short(err)
+		text = bytes.NewReader(r.raw[from:])
+		in = bufio.NewReader(text)
+		if res, err = http.ReadResponse(in, &http.Request{Method: r.method}); err != nil {
+			if short(err) {
+				err = nil
+			}
+			return false, err
+		}
+		if res.StatusCode >= 200 || res.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+		from += end
 	}
 	headLen := len(r.raw) - text.Len() - in.Buffered()
 	r.most = headLen + 2*MaxBody // chunks take more room than what is in them
@@ -133,7 +168,7 @@
 		r.need = headLen + int(res.ContentLength)
 		body := make([]byte, res.ContentLength)
 		if _, err := io.ReadFull(res.Body, body); err != nil {
-			return short(err)
+			return false, nil
 		}
 		r.body = body
 	case len(res.TransferEncoding) == 0: // only the connection's end would end it: it can't be told from a cut one
@@ -144,7 +179,10 @@
 			return false, errBig
 		}
 		if err != nil {
-			return short(err)
+			if short(err) {
+				err = nil
+			}
+			return false, err
 		}
 		r.body = body
 	}
--- a/keeper.go
+++ b/keeper.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io/fs"
-	"slices"
 	"time"
 
 	"pumicecroft/internal/prepared"
@@ -18,10 +17,8 @@
 type keeper struct {
 	door    *Door
 	source  string
-	version uint64                     // of what is on disk
-	old     map[string]membership.Node // from disk, until the source is heard
-	oldAt   time.Time
-	started map[string]membership.Node // what the first list was told of starts; it does not grow
+	version uint64             // of what is on disk
+	recall  *membership.Recall // what was on disk; nil: nothing
 }
 
 // newKeeper begins with what is on disk, if that is good.
@@ -35,10 +32,7 @@
 	default:
 		d.log.Info("the door begins with the list that was kept", "source", source, "of", at, "nodes", len(nodes))
 		d.report(source, membership.List{Whole: true, Saved: true, Nodes: nodes})
-		k.old, k.oldAt = map[string]membership.Node{}, at
-		for _, n := range nodes {
-			k.old[n.Name] = n
-		}
+		k.recall = membership.NewRecall(nodes, at)
 	}
 	d.update.Lock()
 	defer d.update.Unlock()
@@ -46,34 +40,6 @@
 	return k
 }
 
-// heard looks at a list before it is reported. A source that has just started may not know when nodes started that
-// were there before it: the first list takes that from the one that was kept, and what is not in that has come since.
-func (k *keeper) heard(l *membership.List) {
-	if l.Failed != nil || k.old == nil && k.started == nil {
-		return
-	}
-	l.Nodes = slices.Clone(l.Nodes)
-	if k.old != nil && l.Whole && len(l.Nodes) > 0 {
-		k.started = map[string]membership.Node{}
-		for _, n := range l.Nodes {
-			if !n.Started.IsZero() {
-				continue
-			}
-			n.Started = k.oldAt
-			if old, known := k.old[n.Name]; known && old.Addr == n.Addr {
-				n.Started = old.Started
-			}
-			k.started[n.Name] = n
-		}
-		k.old = nil
-	}
-	for i := range l.Nodes {
-		if n := &l.Nodes[i]; n.Started.IsZero() && k.started[n.Name].Addr == n.Addr {
-			n.Started = k.started[n.Name].Started
-		}
-	}
-}
-
 // run writes what has changed, until ctx ends, and then once more.
 func (k *keeper) run(ctx context.Context) {
 	tick := time.NewTicker(keepEvery)
--- a/purity_test.go
+++ b/purity_test.go
@@ -19,7 +19,7 @@
 var impureImports = []string{"net", "os", "sync", "log", "syscall", "context", "io", "runtime", "testing", "unsafe"}
 
 var pureTime = []string{"Duration", "Time", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute", "Hour", "Unix",
-	"UnixMilli", "Month", "Weekday", "UTC", "Date", "ParseDuration", "Parse", "RFC3339"}
+	"UnixMilli", "Month", "Weekday", "UTC", "Date", "ParseDuration", "Parse", "RFC3339", "RFC3339Nano"}
 
 var pureRand = []string{"New", "NewPCG", "Rand", "Source", "PCG"}
 
