Keys: a pure store of idempotency keys, fair by customer, and a timing wheel for its expiry

Change: package keys says of a request with a key whether it passes, joins one in flight, is given the same answer, conflicts, is undecided or finds no room. In flight is bounded by a dynamic threshold, so one flooder leaves half of the memory to others; answers are evicted from who holds more than an even share, its oldest first. internal/wheel is the expiry: O(1) to set and unset. Both are pure, and tested against plain models (rapid); 100,000 keys of a flooder evict none of 600 of others, with answers or with all in flight, within the budget at each step.

Nothing uses the store yet.

--- /dev/null
+++ b/keys/keys_test.go
@@ -0,0 +1,348 @@
+package keys
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pumicecroft/decision"
+)
+
+// model is a store without a bound, as plainly as it can be said.
+type model struct {
+	limits Limits
+	keys   map[name]*known
+}
+
+type known struct {
+	digest  Digest
+	state   state
+	answer  Answer
+	until   time.Duration
+	first   *Ticket
+	waiting map[int]time.Duration // by tag, until when; the first's own: never
+}
+
+// Whatever is asked, left and ended, in whatever order and at whatever times, the store says what the model says while there is
+// room; each that waits gets one end; and when all keys are forgotten nothing is left.
+func TestAgainstAModel(t *testing.T) {
+	met := map[Verdict]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Keep: 50 * time.Millisecond, KeepDoubt: 20 * time.Millisecond, MostAnswer: 10, Advice: time.Second}
+		now := time.Second
+		s := New(limits, now)
+		m := model{limits, map[name]*known{}}
+		tags := 0
+		tickets, owed := map[int]*Ticket{}, map[int]bool{}
+		take := func(given []Given, want map[int]Verdict) {
+			t.Helper()
+			got := map[int]Verdict{}
+			for _, g := range given {
+				tag := g.Tag.(int)
+				if !owed[tag] {
+					t.Fatalf("%d is given %v and is owed nothing", tag, g.Verdict)
+				}
+				delete(owed, tag)
+				got[tag] = g.Verdict
+				met[g.Verdict]++
+			}
+			if !maps.Equal(got, want) {
+				t.Fatalf("given %v, want %v", got, want)
+			}
+		}
+		due := func() map[int]Verdict { // what the passing of time has done
+			late := map[int]Verdict{}
+			for n, k := range m.keys {
+				for tag, until := range k.waiting {
+					if until > 0 && until <= now {
+						late[tag] = Late
+						delete(k.waiting, tag)
+					}
+				}
+				if k.state != inFlight && k.until <= now {
+					delete(m.keys, n)
+				}
+			}
+			return late
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				n := name{decision.CustomerID(rapid.IntRange(1, 2).Draw(t, "who")), rapid.SampledFrom([]string{"a", "b", "", "\x01", strings.Repeat("k", 256)}).Draw(t, "key")}
+				digest := Digest{byte(rapid.IntRange(0, 9).Draw(t, "digest") / 9)}
+				until := now + time.Duration(rapid.IntRange(1, 40).Draw(t, "for"))*time.Millisecond
+				late := due()
+				tags++
+				d, given := s.Ask(now, n.customer, n.key, digest, tags, until)
+				take(given, late)
+				met[d.Verdict]++
+				k := m.keys[n]
+				want := Pass
+				switch {
+				case !goodKey(n.key):
+					want = BadKey
+				case k == nil:
+				case k.digest != digest:
+					want = Conflict
+				case k.state == inFlight:
+					want = Join
+				case k.state == doubtful:
+					want = Undecided
+				case len(k.answer.Body) > limits.MostAnswer:
+					want = Done
+				default:
+					want = Replay
+				}
+				if d.Verdict != want || want == Replay && string(d.Answer.Body) != string(k.answer.Body) || want == Undecided && d.RetryAfter != k.until-now ||
+					(d.Ticket != nil) != (want == Pass || want == Join) {
+					t.Fatalf("%+v, want %v", d, want)
+				}
+				switch want {
+				case Pass:
+					m.keys[n] = &known{digest: digest, first: d.Ticket, waiting: map[int]time.Duration{tags: 0}}
+				case Join:
+					k.waiting[tags] = until
+				default:
+					return
+				}
+				tickets[tags], owed[tags] = d.Ticket, true
+			},
+			"leave": func(t *rapid.T) {
+				if len(owed) == 0 {
+					t.Skip("nobody waits")
+				}
+				tag := rapid.SampledFrom(slices.Sorted(maps.Keys(owed))).Draw(t, "tag")
+				late := due()
+				nobody, given := s.Leave(now, tickets[tag])
+				take(given, late)
+				if !owed[tag] {
+					return // it was late
+				}
+				delete(owed, tag)
+				want := false
+				for _, k := range m.keys {
+					if _, waits := k.waiting[tag]; waits {
+						delete(k.waiting, tag)
+						want = len(k.waiting) == 0
+					}
+				}
+				if nobody != want {
+					t.Fatalf("nobody waits: %v, want %v", nobody, want)
+				}
+				if again, _ := s.Leave(now, tickets[tag]); again {
+					t.Fatal("it leaves twice")
+				}
+			},
+			"end": func(t *rapid.T) {
+				var all []name
+				for n, k := range m.keys {
+					if k.state == inFlight {
+						all = append(all, n)
+					}
+				}
+				if len(all) == 0 {
+					t.Skip("none is in flight")
+				}
+				slices.SortFunc(all, func(a, b name) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+				n := rapid.SampledFrom(all).Draw(t, "key")
+				k, end := m.keys[n], End(rapid.IntRange(0, 2).Draw(t, "end"))
+				want := due()
+				a := Answer{Status: 200, Body: make([]byte, rapid.SampledFrom([]int{0, 10, 11}).Draw(t, "size"))}
+				for tag := range k.waiting {
+					want[tag] = map[End]Verdict{Answered: Replay, NeverRan: Refused, Doubt: Undecided}[end]
+				}
+				take(s.Ended(now, k.first, end, a), want)
+				take(s.Ended(now, k.first, Doubt, a), nil)
+				k.waiting, k.answer = nil, a
+				switch end {
+				case Answered:
+					k.state, k.until = answered, now+limits.Keep
+				case NeverRan:
+					delete(m.keys, n)
+				case Doubt:
+					k.state, k.until = doubtful, now+limits.KeepDoubt
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 30).Draw(t, "for")) * time.Millisecond
+				take(s.Tick(now), due())
+			},
+			"": func(t *rapid.T) {
+				sum, flight := 0, 0
+				for n, e := range s.entries {
+					if m.keys[n] == nil {
+						t.Fatalf("%v is kept", n)
+					}
+					sum += e.cost
+					if e.state == inFlight {
+						flight += e.cost
+					}
+				}
+				if s.Len() != len(m.keys) || s.Bytes() != sum || s.flight != flight || len(s.most) != s.Customers() {
+					t.Fatalf("%d keys of %d, %d bytes of %d, %d in flight of %d", s.Len(), len(m.keys), s.Bytes(), sum, s.flight, flight)
+				}
+			},
+		})
+		for n, k := range m.keys {
+			if k.state == inFlight {
+				s.Ended(now, k.first, NeverRan, Answer{})
+				delete(m.keys, n)
+			}
+		}
+		if s.Tick(now + time.Hour); s.Len() != 0 || s.Bytes() != 0 || s.Customers() != 0 || s.wheel.Len() != 0 || s.flight != 0 {
+			t.Fatalf("left: %d keys, %d bytes, %d customers, %d timers", s.Len(), s.Bytes(), s.Customers(), s.wheel.Len())
+		}
+	})
+	for v := range Late + 1 {
+		if v != Busy && met[v] == 0 {
+			t.Errorf("never met: %v", v)
+		}
+	}
+}
+
+// A flooder evicts its own, the oldest first, and never another's nor what is in flight; the budget holds at each step; and who
+// comes late finds room.
+func TestAFlooder(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ends bool // the flooder's requests end; else all stay in flight
+	}{{"of answers", true}, {"of requests in flight", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			const others, each = 20, 30
+			s := New(Limits{Bytes: 1 << 20, MostAnswer: 1 << 10}, 0)
+			body := Answer{Status: 200, Body: make([]byte, 300)}
+			serve := func(now time.Duration, who decision.CustomerID, key string, ends bool) Verdict {
+				d, _ := s.Ask(now, who, key, Digest{}, nil, now+time.Hour)
+				if d.Verdict == Pass && ends {
+					s.Ended(now, d.Ticket, Answered, body)
+				}
+				if s.Bytes() > 1<<20 {
+					t.Fatalf("%d bytes", s.Bytes())
+				}
+				return d.Verdict
+			}
+			now, passed, busy, kept := time.Duration(0), 0, 0, 0
+			for i := range 100_000 {
+				now += 10 * time.Microsecond
+				switch serve(now, 1, fmt.Sprint("f", i), c.ends) {
+				case Pass:
+					passed++
+				case Busy:
+					busy++
+				}
+				if i%100 == 99 && kept < others*each { // the others come while it floods
+					if v := serve(now, decision.CustomerID(2+kept%others), fmt.Sprint("o", kept/others), true); v != Pass {
+						t.Fatalf("another customer's request %d: %v", kept, v)
+					}
+					kept++
+				}
+			}
+			for i := range kept {
+				if v := serve(now, decision.CustomerID(2+i%others), fmt.Sprint("o", i/others), true); v != Replay {
+					t.Errorf("another customer's key %d: %v", i, v)
+				}
+			}
+			if c.ends != (busy == 0) || kept != others*each || c.ends && serve(now, 1, "f99999", true) != Replay {
+				t.Errorf("%d of the flooder's passed, %d were refused; %d of others", passed, busy, kept)
+			}
+			if !c.ends && (passed == 0 || s.flight > 1<<19+entryCost) {
+				t.Errorf("%d bytes in flight", s.flight)
+			}
+			t.Logf("%d passed, %d refused, %d keys in %d bytes", passed, busy, s.Len(), s.Bytes())
+		})
+	}
+}
+
+// At the same instant as an answer, an expiry and a deadline, each order has its meaning and none gives two ends.
+func TestTheSameInstant(t *testing.T) {
+	const ms = time.Millisecond
+	begin := func() (*Store, *Ticket, *Ticket) {
+		s := New(Limits{Keep: 10 * ms, KeepDoubt: 10 * ms}, 0)
+		first, _ := s.Ask(0, 1, "k", Digest{}, "first", 5*ms)
+		second, _ := s.Ask(0, 1, "k", Digest{}, "second", 5*ms)
+		return s, first.Ticket, second.Ticket
+	}
+	tell := func(given []Given) (out string) {
+		for _, g := range given {
+			out += fmt.Sprintf("%v:%v ", g.Tag, g.Verdict)
+		}
+		return strings.TrimSpace(out)
+	}
+	s, first, _ := begin()
+	if got := tell(s.Ended(5*ms-1, first, Answered, Answer{})); got != "first:replay second:replay" {
+		t.Errorf("just before the deadline: %s", got)
+	}
+	s, first, second := begin()
+	if got := tell(s.Ended(5*ms, first, Answered, Answer{})); got != "second:late first:replay" {
+		t.Errorf("at the deadline: %s", got)
+	}
+	if nobody, given := s.Leave(5*ms, second); nobody || len(given) > 0 {
+		t.Error("it leaves after its end")
+	}
+	if d, _ := s.Ask(15*ms-1, 1, "k", Digest{}, nil, 0); d.Verdict != Replay {
+		t.Errorf("just before the expiry: %v", d.Verdict)
+	}
+	if d, _ := s.Ask(15*ms, 1, "k", Digest{}, nil, 0); d.Verdict != Pass {
+		t.Errorf("at the expiry: %v", d.Verdict)
+	}
+	// The first client's leaving does not end what the second waits for; the second's does.
+	s, first, second = begin()
+	if nobody, _ := s.Leave(ms, first); nobody {
+		t.Error("the second waits")
+	}
+	if nobody, _ := s.Leave(ms, second); !nobody {
+		t.Error("nobody waits")
+	}
+	// And a repeat that comes then waits for it again, and gets the late answer.
+	if d, _ := s.Ask(2*ms, 1, "k", Digest{}, "third", 9*ms); d.Verdict != Join {
+		t.Errorf("%v", d.Verdict)
+	}
+	if got := tell(s.Ended(8*ms, first, Answered, Answer{})); got != "third:replay" {
+		t.Error(got)
+	}
+	// A clock that goes back expires nothing and keeps nothing longer.
+	if s.Tick(0); s.Len() != 1 {
+		t.Error("the clock went back")
+	}
+	if s.Tick(18 * ms); s.Len() != 0 {
+		t.Error("it is kept for longer")
+	}
+}
+
+// BenchmarkKeyed is a keyed request with its end, with n keys held, and what an entry takes of memory beside what it is charged.
+func BenchmarkKeyed(b *testing.B) {
+	for _, n := range []int{1, 1000, 1_000_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			s := New(Limits{Bytes: 4 << 30, Keep: time.Duration(n) * time.Microsecond}, 0)
+			now, rng := time.Duration(0), rand.New(rand.NewPCG(1, 2))
+			body := Answer{Status: 200, Body: []byte("done")}
+			one := func() {
+				now += time.Microsecond
+				key := fmt.Sprintf("%016x", rng.Uint64())
+				if d, _ := s.Ask(now, decision.CustomerID(rng.IntN(1000)), key, Digest{}, nil, now+time.Second); d.Verdict == Pass {
+					s.Ended(now, d.Ticket, Answered, body)
+				}
+			}
+			for range n {
+				one()
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(max(1, s.Len())), "B/entry")
+			b.ReportMetric(float64(s.Bytes())/float64(max(1, s.Len())), "charged/entry")
+			b.ReportAllocs()
+			for b.Loop() {
+				one()
+			}
+		})
+	}
+}
