--- a/internal/sim/client.go
+++ b/internal/sim/client.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"pumicecroft/decision"
 	"pumicecroft/internal/httpwire"
+	"pumicecroft/keys"
 )
 
 // ask is one try of a client, and what has become of it.
@@ -19,8 +19,10 @@
 	key        uint64 // of the client's request, over its tries
 	customer   int
 	units      float64
-	size       int    // of its body
-	text       string // of a good answer's body, once it was wanted
+	size       int          // of its body
+	text       string       // of a good answer's body, once it was wanted
+	digest     byte         // of what it asks beside its key
+	ticket     *keys.Ticket // of its key at the door
 	door       *door
 	epoch      int // of the door's process that took it
 	arrived    time.Duration
@@ -30,6 +32,7 @@
 	again      bool // its id was used before
 	tainted    bool // its key was, by a client that was not told that this is harmless
 	leaves     bool // its client has left
+	pressed    bool // its client pressed twice
 	finals     int
 	verdict    string
 	reply      *httpwire.Answer // of the attempt that ended last before the final answer
@@ -53,6 +56,9 @@
 	return fmt.Sprintf("key-%x", a.key)
 }
 
+// storeKey is what the door knows it by.
+func (a *ask) storeKey() string { return fmt.Sprintf("%s-%x", a.class, a.key) }
+
 // padding is what bodies are made of.
 var padding = strings.Repeat("x", 40<<10)
 
@@ -119,6 +125,20 @@
 	}
 	a.door = d
 	epoch := d.epoch
+	if share := r.presses[a.customer]; share > 0 && !a.pressed {
+		if rng := r.chance(14, uint64(a.number)); rng.Float64() < share { // the same once more, by a client of its own
+			twin := &ask{class: a.class, key: a.key, customer: a.customer, timeout: between(rng, 300*time.Millisecond, 2500*time.Millisecond), units: a.units, size: a.size,
+				pressed: true, tainted: true}
+			if a.tainted = true; rng.IntN(8) == 0 {
+				twin.digest = 1
+			}
+			r.after([]time.Duration{0, 0, a.timeout, between(rng, 0, 2*time.Second)}[rng.IntN(4)], func() {
+				if !r.over {
+					r.ask(twin, at, len(r.doors))
+				}
+			})
+		}
+	}
 	d.in(epoch, a, func() {
 		d.arrive(a)
 	})
@@ -130,7 +150,7 @@
 					if a.finals == 0 {
 						d.w.tell("the client of %d leaves", a.number)
 					}
-					d.carry(d.core.Leave(r.now, a, decision.RequestID(a.id)))
+					d.leave(a)
 				})
 			})
 		}
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -43,13 +43,14 @@
 	Flood                     // a customer asks far beyond its plan
 	Leaving                   // clients leave early
 	CounterLoss               // the shared counter behind the meter loses a part of its counts at once, and of those that come
+	Press                     // clients press twice: the same key once more, at the same door, at once or later
 	Replay                    // clients ask with an id that they have used
 	kinds
 )
 
 var kindNames = [kinds]string{"refuse-conn", "hang-conn", "break-unheard", "break-ran", "silence", "delay", "dribble", "spoil", "behind", "errors",
 	"turn-away", "slow", "partition", "descriptors", "drain", "restart", "move", "deregister", "pause", "kill", "kill-counting", "kill-answering",
-	"shutdown", "list-lag", "list-fail", "list-loss", "meter-loss", "flood", "leaving", "counter-loss", "replay"}
+	"shutdown", "list-lag", "list-fail", "list-loss", "meter-loss", "flood", "leaving", "counter-loss", "press", "replay"}
 
 // String is the kind's name.
 func (k Kind) String() string { return kindNames[k] }
@@ -98,7 +99,7 @@
 		switch f.Kind {
 		case Pause, Kill, KillCounting, KillAnswering, Shutdown, ListLag, ListFail, Descriptors, MeterLoss:
 			f.Target = rng.IntN(c.doors)
-		case Flood, Leaving, Replay:
+		case Flood, Leaving, Press, Replay:
 			f.Target = rng.IntN(c.customers)
 		case CounterLoss:
 		default:
