--- a/internal/sim/backend.go
+++ b/internal/sim/backend.go
@@ -102,16 +102,15 @@
 			return
 		}
 		body := l.got[end+4 : end+4+size]
-		b.r.requests++
-		j := &job{link: l, number: b.r.requests}
 		_, path, _ := strings.Cut(head, " ")
 		if strings.HasPrefix(path, "/health ") {
 			l.got = nil
-			b.r.requests--
 			l.answer([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), 0)
 			l.idle()
 			return
 		}
+		b.r.requests++
+		j := &job{link: l, number: b.r.requests}
 		n, _ := strconv.Atoi(path[strings.IndexByte(path, '=')+1 : strings.IndexByte(path, ' ')])
 		j.ask = b.r.asks[n]
 		if id := field(head, "Request-Id"); id != fmt.Sprintf("%016x", j.ask.id) || len(body) != j.ask.size || field(head, "Idempotency-Key") != j.ask.keyText() {
