--- a/decision/api.go
+++ b/decision/api.go
@@ -253,6 +253,9 @@
 	Request RequestID
 	Backend BackendID
 	Timeout time.Duration // 0: until the client leaves
+	// NotAfter is the time after which it must not leave any more: it then ends as NotSent. 0: none. A repeat of what may have
+	// run is dropped for so long only.
+	NotAfter time.Duration
 }
 
 // Refuse is a final answer; it tells the client that trying again does no harm.
--- a/decision/gateway.go
+++ b/decision/gateway.go
@@ -740,6 +740,10 @@
 // --- attempts
 
 func (g *Gateway) send(r *request, b *backend, s *slot) {
+	notAfter := time.Duration(0)
+	if t := r.ran(); t != nil && r.class.Effect == Keyed {
+		notAfter = t.sent + r.class.KeyWindow - g.set.AnswerGrace
+	}
 	r.tries = append(r.tries, attempt{b: b, sent: g.now, open: true, slot: s})
 	g.owes(b)
 	b.out++
@@ -748,7 +752,7 @@
 	r.fleet.sends++
 	g.spare = min(mostSpare, g.spare+spareShare)
 	r.cust.open++
-	g.act(Send{Request: r.id, Backend: b.ID})
+	g.act(Send{Request: r.id, Backend: b.ID, NotAfter: notAfter})
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(second)) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -98,6 +98,7 @@
 	Attempt    int
 	Backend    decision.BackendID
 	Due        time.Duration // of a Start
+	NotAfter   time.Duration // of a Start: it must not leave after that; 0: none
 	TimedOut   bool          // of a CallOff: the attempt's time is up
 	Verdict    Verdict       // of a Final
 	RetryAfter time.Duration // of a Final that refuses; 0: no advice
@@ -449,7 +450,7 @@
 	}
 	k.tries = append(k.tries, t)
 	k.out++
-	c.out = append(c.out, Effect{Kind: Start, Tag: k.tag, Request: k.id, Attempt: n, Backend: a.Backend, Due: t.due})
+	c.out = append(c.out, Effect{Kind: Start, Tag: k.tag, Request: k.id, Attempt: n, Backend: a.Backend, Due: t.due, NotAfter: a.NotAfter})
 }
 
 // callOff ends the wait for an attempt, once.
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -69,7 +69,9 @@
 type Attempt struct {
 	Backend decision.BackendID
 	Due     time.Time // it is called off then
-	Load    any       // what Serve was given
+	// NotAfter is when it must not leave any more: the carrier looks when it is about to, and ends it as not sent. Zero: none.
+	NotAfter time.Time
+	Load     any // what Serve was given
 
 	call   *call
 	number int
@@ -121,6 +123,9 @@
 	return a.off
 }
 
+// TooLate tells whether the attempt must not leave any more.
+func (a *Attempt) TooLate() bool { return !a.NotAfter.IsZero() && time.Now().After(a.NotAfter) }
+
 // Unless runs do if the attempt is not called off, and keeps it from being so meanwhile. do must not wait.
 func (a *Attempt) Unless(do func()) error {
 	a.mu.Lock()
@@ -331,6 +336,9 @@
 		a = &Attempt{}
 	}
 	a.Backend, a.Due, a.Load, a.call, a.number = e.Backend, d.clock.At(e.Due), k.load, k, e.Attempt
+	if e.NotAfter > 0 {
+		a.NotAfter = d.clock.At(e.NotAfter)
+	}
 	for len(k.tries) < e.Attempt { // numbers of attempts that the core did not make
 		k.tries = append(k.tries, nil)
 	}
--- a/internal/grpcback/backends.go
+++ b/internal/grpcback/backends.go
@@ -187,6 +187,9 @@
 	if c == nil {
 		return reply(result)
 	}
+	if a.TooLate() { // a connection may have taken long to come up, or this process stood still
+		return reply(decision.NotSent)
+	}
 	if err := c.open(s, req.fields(time.Until(a.Due))); err != nil && s.conn == nil {
 		return reply(decision.NotSent) // it has ended, or is leaving, since it was picked
 	}
--- a/internal/httpback/backends.go
+++ b/internal/httpback/backends.go
@@ -127,7 +127,7 @@
 	var x httpwire.Exchange
 	var op httpwire.Op
 	b.mu.Lock()
-	op = x.Begin(b.fleet, a.Backend, a.Load.(*Request), a.Due.Sub(b.start), b.now())
+	op = x.Begin(b.fleet, a.Backend, a.Load.(*Request), a.Due.Sub(b.start), b.latest(a), b.now())
 	b.step(&x, &op)
 	b.mu.Unlock()
 	for op != httpwire.End {
@@ -143,6 +143,14 @@
 	return r
 }
 
+// latest is when an attempt must not leave any more, on the fleet's clock; 0: none.
+func (b *Backends) latest(a *drive.Attempt) time.Duration {
+	if a.NotAfter.IsZero() {
+		return 0
+	}
+	return max(1, a.NotAfter.Sub(b.start))
+}
+
 // step goes on as far as looking at kept connections goes, which asks the system and waits for nothing; it wants the lock.
 func (b *Backends) step(x *httpwire.Exchange, op *httpwire.Op) {
 	for *op == httpwire.Look {
@@ -159,12 +167,14 @@
 		callOff(a, x)
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		next = x.Dialed(c, err)
+		next = x.Dialed(b.now(), c, err)
 	case httpwire.Write:
 		c := x.Conn.Owner.(*conn)
 		err := a.Wait(func() { c.SetDeadline(time.Unix(1, 0)) })
 		if err == nil {
-			c.text = x.Text(c.text[:0], b.now())
+			c.text, err = x.Text(c.text[:0], b.now())
+		}
+		if err == nil {
 			_, err = c.Write(c.text)
 			if cap(c.text) > keepText {
 				c.text = nil
--- a/internal/httpback/backends_test.go
+++ b/internal/httpback/backends_test.go
@@ -271,6 +271,31 @@
 	}
 }
 
+// What must not leave any more does not, on a new connection or a kept one.
+func TestTooLate(t *testing.T) {
+	seen := 0
+	b, id := attempts(t, testkit.Raw(t, func(_ int, conn net.Conn) {
+		seen++
+		io.WriteString(conn, okReply)
+	}))
+	for i, c := range []struct {
+		left time.Duration
+		want decision.Result
+	}{{-time.Second, decision.NotSent}, {time.Hour, decision.Answered}, {-time.Second, decision.NotSent}, {0, decision.Answered}} {
+		a := drive.NewAttempt(id, time.Now().Add(testkit.Patient), payMessage)
+		if c.left != 0 {
+			a.NotAfter = time.Now().Add(c.left)
+		}
+		if r := b.Carry(a); r.Result != c.want {
+			t.Errorf("%d: %v, want %v", i, r.Result, c.want)
+		}
+		time.Sleep(2 * httpwire.RestTime)
+	}
+	if b.Close(); seen != 2 {
+		t.Errorf("%d were sent", seen)
+	}
+}
+
 // A backend may close a connection that was idle for the settings' time, and a request that crosses the close
 // is lost; so this side closes first. A new process or address takes no request on the old one's connections.
 func TestKeptConnections(t *testing.T) {
--- a/internal/httpwire/exchange.go
+++ b/internal/httpwire/exchange.go
@@ -60,14 +60,16 @@
 	id      decision.BackendID
 	request *Request
 	due     time.Duration
+	latest  time.Duration // it must not leave after that; 0: none
 	off     Off
 	reader  reader
 	failed  bool // there is no answer that can be used
 }
 
-// Begin begins an attempt at a backend, that ends by due. It touches the Fleet.
-func (x *Exchange) Begin(f *Fleet, id decision.BackendID, m *Request, due, now time.Duration) Op {
-	*x = Exchange{fleet: f, id: id, request: m, due: due, reader: reader{raw: x.reader.raw}}
+// Begin begins an attempt at a backend, that ends by due, and whose request must not leave after latest, if that is not 0. It
+// touches the Fleet.
+func (x *Exchange) Begin(f *Fleet, id decision.BackendID, m *Request, due, latest, now time.Duration) Op {
+	*x = Exchange{fleet: f, id: id, request: m, due: due, latest: latest, reader: reader{raw: x.reader.raw}}
 	x.Result.Result = decision.NotSent
 	if x.Place = f.ready(id); x.Place == nil {
 		return End
@@ -105,33 +107,42 @@
 // Looked says whether nothing has come on the connection and its other side holds it. It touches the Fleet.
 func (x *Exchange) Looked(now time.Duration, clean bool) Op {
 	if clean {
-		return x.connected()
+		return x.connected(now)
 	}
 	x.drop()
 	return x.connect(now, false)
 }
 
 // Dialed says whether the connection is up; owner is what its driver knows it by. It touches the Fleet.
-func (x *Exchange) Dialed(owner any, err error) Op {
+func (x *Exchange) Dialed(now time.Duration, owner any, err error) Op {
 	if err != nil {
 		x.fleet.Pool.Release()
 		return x.unsent(err)
 	}
 	x.Conn = x.fleet.Pool.Opened(x.Place, owner)
-	return x.connected()
+	return x.connected(now)
 }
 
 // connected looks once more whether the backend may be sent anything: a connection may have taken long to come up.
-func (x *Exchange) connected() Op {
-	if x.off != On || x.fleet.ready(x.id) != x.Place {
+func (x *Exchange) connected(now time.Duration) Op {
+	if x.off != On || x.late(now) || x.fleet.ready(x.id) != x.Place {
 		x.drop()
 		return x.unsent(errStale)
 	}
 	return Write
 }
 
-// Text appends what is to be written.
-func (x *Exchange) Text(b []byte, now time.Duration) []byte { return x.request.Append(b, x.due-now) }
+// late tells whether the request must not leave any more.
+func (x *Exchange) late(now time.Duration) bool { return x.latest > 0 && now > x.latest }
+
+// Text appends what is to be written. An error says that it is too late for that, as this process may have stood still since
+// Write was wanted; Wrote takes it.
+func (x *Exchange) Text(b []byte, now time.Duration) ([]byte, error) {
+	if x.late(now) {
+		return b, errStale
+	}
+	return x.request.Append(b, x.due-now), nil
+}
 
 // Wrote says whether all has been written. If not, its last byte was not, so it has never run. A kept connection that turns
 // out to be dead before then is made up for by a new one. room is what the answer is read into. It touches the Fleet.
--- a/internal/httpwire/exchange_test.go
+++ b/internal/httpwire/exchange_test.go
@@ -30,7 +30,7 @@
 	var x Exchange
 	var op Op
 	var out strings.Builder
-	now, dials := time.Hour, 0
+	now, latest, dials := time.Hour, time.Duration(0), 0
 	for line := range strings.Lines(script) {
 		line = strings.TrimSpace(line)
 		verb, rest, _ := strings.Cut(line, " ")
@@ -40,7 +40,7 @@
 		}
 		switch verb {
 		case "begin":
-			op = x.Begin(f, 1, &Request{Method: "POST", Target: "/pay", Host: "h", Body: []byte("b")}, now+time.Second, now)
+			op = x.Begin(f, 1, &Request{Method: "POST", Target: "/pay", Host: "h", Body: []byte("b")}, now+time.Second, latest, now)
 		case "looked":
 			op = x.Looked(now, rest == "clean")
 		case "dialed":
@@ -48,8 +48,18 @@
 			if rest == "short" {
 				err = fmt.Errorf("%w: 7 of 7", ErrShort)
 			}
-			op = x.Dialed(dials, err)
+			op = x.Dialed(now, dials, err)
+		case "latest":
+			d, err := time.ParseDuration(rest)
+			if err != nil {
+				t.Fatal(err)
+			}
+			latest = now + d
+			continue
 		case "wrote":
+			if _, late := x.Text(nil, now); late != nil {
+				err = late
+			}
 			op = x.Wrote(now, nil, err)
 		case "came":
 			text, _ := strconv.Unquote(rest)
--- a/internal/sim/door.go
+++ b/internal/sim/door.go
@@ -56,6 +56,7 @@
 	number  int
 	backend decision.BackendID
 	due     time.Duration
+	latest  time.Duration // it must not leave after that; 0: none
 	off     httpwire.Off
 	cut     func() // ends the wait that it is in
 	serial  int    // of the operation that it waits for
@@ -192,7 +193,7 @@
 	for _, e := range effects {
 		switch e.Kind {
 		case core.Start:
-			try := &attempt{ask: e.Tag.(*ask), number: e.Attempt, backend: e.Backend, due: e.Due, over: d.ended}
+			try := &attempt{ask: e.Tag.(*ask), number: e.Attempt, backend: e.Backend, due: e.Due, latest: e.NotAfter, over: d.ended}
 			try.ask.tries = append(try.ask.tries, try)
 			d.out[try] = true
 			d.c.started(d, try)
@@ -373,7 +374,7 @@
 	if try.ask != nil {
 		m = try.ask.message()
 	}
-	d.run(try, try.x.Begin(d.fleet, try.backend, m, try.due, d.w.now))
+	d.run(try, try.x.Begin(d.fleet, try.backend, m, try.due, try.latest, d.w.now))
 }
 
 // wait gives what must be called when the operation that an attempt waits for has ended: it goes on once, by what then says,
@@ -406,11 +407,11 @@
 				d.wait(try, func() httpwire.Op {
 					x.CallOff(try.off)
 					if err != nil {
-						return x.Dialed(nil, err)
+						return x.Dialed(d.w.now, nil, err)
 					}
 					d.links[l] = true
 					d.open++
-					return x.Dialed(l, nil)
+					return x.Dialed(d.w.now, l, nil)
 				})()
 			})
 			return
@@ -447,7 +448,10 @@
 	l, err := x.Conn.Owner.(*link), error(nil)
 	b := l.backend
 	l.sentAt = d.w.now
-	switch text := x.Text(nil, d.w.now); {
+	text, late := x.Text(nil, d.w.now)
+	switch {
+	case late != nil:
+		err = late
 	case try.off != httpwire.On:
 		err = errCut
 	case l.end == errReset:
