A refusal within a key's window counts the next try's whole time; an answer in part tells no list

What may have run (repeats dropped by all backends) was refused although the client's next try, whose first attempt may fail, could be sent on after the window: its deadline was not counted. A catalogue's answer that is not whole told the old list once more, which confirmed a loss.

--- a/consul/consul.go
+++ b/consul/consul.go
@@ -221,10 +221,10 @@
 					return blocking.Answer{}, nil, err
 				}
 				return head(meta, len(entries)), func(v blocking.Verdict) {
+					if !v.Whole {
+						return // health says so too, and the list as it was is no news
+					}
 					tell(v, func(time.Time) error {
-						if !v.Whole {
-							return nil // health says so too
-						}
 						names := make([]string, 0, len(entries))
 						for _, e := range entries {
 							names = append(names, registry.Name(e.Node, e.ServiceID))
--- a/decision/gateway.go
+++ b/decision/gateway.go
@@ -834,12 +834,12 @@
 }
 
 // answer gives the final answer to a request that was not served: a refusal where that is true to rule 2. Where all backends
-// drop repeats, that is while they do at the time at which the client may follow the advice.
+// drop repeats, that is while they still do when the client follows the advice and its next try is sent on as late as it may be.
 func (g *Gateway) answer(r *request) {
 	t := r.ran()
 	if t == nil || r.class.Effect == Safe ||
 		r.class.Effect == Keyed && r.class.Group == GroupAll &&
-			g.now-t.sent+g.set.MaxRetryAfter+g.set.AnswerGrace < r.class.KeyWindow {
+			g.now-t.sent+g.set.MaxRetryAfter+r.class.Deadline+g.set.AnswerGrace < r.class.KeyWindow {
 		g.act(Refuse{r.id, g.untilSlot()})
 	} else {
 		g.act(Fail{Request: r.id})
--- a/internal/sim/door.go
+++ b/internal/sim/door.go
@@ -170,7 +170,7 @@
 func (d *door) arrive(a *ask) {
 	a.epoch, a.arrived = d.epoch, d.w.now
 	d.c.owedAsks = append(d.c.owedAsks, a)
-	d.w.tell("door %d takes %d, id %x: %s of customer %d, %v", d.number, a.number, a.id, a.class, a.customer, a.timeout)
+	d.w.tell("door %d takes %d, id %x, key %d: %s of customer %d, %v", d.number, a.number, a.id, a.key, a.class, a.customer, a.timeout)
 	if !a.safe() && d.keys != nil && !d.asksKey(a) {
 		return
 	}
--- a/internal/sim/sources.go
+++ b/internal/sim/sources.go
@@ -332,7 +332,9 @@
 		if errs := s.book.Health(now, entries, v.Whole, v.Anew); len(errs) > 0 {
 			d.w.broken("lists make sense", "%v", errs)
 		}
-	case v.Whole:
+	case !v.Whole:
+		return // health says so too, and the list as it was is no news
+	default:
 		var names []string
 		for _, e := range entries {
 			names = append(names, registry.Name(e.Node, e.ID))
