A customer whose last key makes room for its next one is not forgotten meanwhile

Change: a customer for whom room is made stays, whatever of it makes room. A test of a lone customer, which fell over without it.

--- a/keys/keys.go
+++ b/keys/keys.go
@@ -173,6 +173,7 @@
 	flight, stored int    // bytes of what is in flight, and of what may be evicted
 	oldest, newest *entry // of the latter
 	index          int    // in the heap
+	asks           bool   // room is made for it: it stays, whatever of it makes room
 }
 
 // The cost of an entry beside its key and answer, and of one that waits, in bytes of memory: what the benchmark measures, rounded up.
@@ -289,7 +290,10 @@
 		heap.Push(&s.most, c)
 	}
 	cost := entryCost + ticketCost + len(key)
-	if !s.admits(c, cost) || !s.room(c, cost) {
+	c.asks = true
+	has := s.admits(c, cost) && s.room(c, cost)
+	c.asks = false
+	if !has {
 		s.letGo(c)
 		return Decision{Verdict: Busy, RetryAfter: s.limits.Advice}
 	}
@@ -432,7 +436,7 @@
 
 // letGo forgets a customer that has no entries.
 func (s *Store) letGo(c *customer) {
-	if c.bytes() == 0 && c.index >= 0 {
+	if c.bytes() == 0 && !c.asks && c.index >= 0 {
 		heap.Remove(&s.most, c.index)
 		delete(s.customers, c.id)
 	}
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -259,6 +259,21 @@
 	}
 }
 
+// A lone customer whose one entry makes room for its next one is still there.
+func TestALoneCustomer(t *testing.T) {
+	s := New(Limits{Bytes: 1400}, 0)
+	for i := range 5 {
+		d, _ := s.Ask(0, 1, fmt.Sprint(i), Digest{}, nil, time.Second)
+		if d.Verdict != Pass {
+			t.Fatalf("%d: %v", i, d.Verdict)
+		}
+		s.Ended(0, d.Ticket, Answered, Answer{Body: make([]byte, 700)})
+		if s.Len() != 1 || s.Customers() != 1 || s.Bytes() > 1400 || len(s.most) != 1 {
+			t.Errorf("%d: %d keys of %d customers in %d bytes", i, s.Len(), s.Customers(), s.Bytes())
+		}
+	}
+}
+
 // At the same instant as an answer, an expiry and a deadline, each order has its meaning and none gives two ends.
 func TestTheSameInstant(t *testing.T) {
 	const ms = time.Millisecond
