--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -154,6 +154,24 @@
 	})
 }
 
+// behind puts bytes on their way to the door that stand behind an answer. If a partition parts them from it, the connection ends in
+// their place: they would come when it is long in use again, and HTTP/1.1 has nothing by which an answer names its request.
+func (l *link) behind(text []byte, delay time.Duration) {
+	var due time.Duration
+	l.arrive(&l.down, delay, func() {
+		switch {
+		case l.closed || l.end != nil:
+			return
+		case l.w.now > due:
+			l.end = errReset
+		default:
+			l.come = append(l.come, text...)
+		}
+		l.rouse()
+	})
+	due = l.down.last
+}
+
 // endDown ends the connection towards the door.
 func (l *link) endDown(err error) {
 	l.arrive(&l.down, 0, func() {
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -348,6 +348,7 @@
 				b.created = r.agent.index + 1
 				r.push(b)
 			}
+			r.agent.found = r.now // a loss right behind it would look like one with it to who has not heard of their return
 		})
 		return
 	}
--- a/internal/sim/sources.go
+++ b/internal/sim/sources.go
@@ -32,6 +32,7 @@
 	words    map[string]map[string]decision.BackendState // by node, by source, as told last
 	whole    map[string]map[string]bool                  // by source, what its last whole list named
 	told     map[string]time.Duration                    // since when it has been told that a node drains or is gone
+	starts   map[string]time.Duration                    // the latest start of a node that it has been told of
 	byID     map[decision.BackendID]string
 }
 
@@ -55,6 +56,7 @@
 func (d *door) begin() {
 	k := &d.lists
 	k.words, k.whole, k.told, k.byID = map[string]map[string]decision.BackendState{}, map[string]map[string]bool{}, map[string]time.Duration{}, map[decision.BackendID]string{}
+	k.starts = map[string]time.Duration{}
 	var origins []membership.Origin
 	if d.r.shape.catalogue {
 		origins = append(origins, membership.Origin{Name: catalogue})
@@ -171,6 +173,7 @@
 		k.whole[source] = map[string]bool{}
 	}
 	for _, n := range l.Nodes {
+		k.starts[n.Name] = max(k.starts[n.Name], unix(n.Started))
 		if k.whole[source] != nil {
 			k.whole[source][n.Name] = true
 		}
@@ -194,6 +197,7 @@
 	l := membership.List{Whole: whole}
 	for _, e := range entries {
 		n := membership.Node{Name: e.Meta["name"]}
+		n.Started, _ = time.Parse(time.RFC3339Nano, e.Meta["started"]) // the zero time is long ago
 		if e.Checks[0].Status != "passing" {
 			n.State = decision.Draining
 		}
@@ -353,7 +357,7 @@
 	index   uint64
 	waiting []*question
 	lost    [2]func(*backend) bool // what the answers on health and on the catalogue lack now
-	found   time.Duration          // when they came back last
+	found   time.Duration          // when they came back last, or what was deregistered did
 	fails   map[*door]int          // how it fails for a door, from 1
 }
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -181,15 +181,22 @@
 type origin struct {
 	Origin
 	failed bool
-	saved  bool            // it has told what was saved, and nothing since
-	names  map[string]bool // of the nodes that it has a word on
-	words  uint64          // how often a word of it changed
-	lacked map[string]bool // what its last whole list lacked and is not believed to be gone yet
-	since  time.Duration   // of lacked
-	hold   time.Duration   // for how long it must be lacked
-	told   int             // lists that lacked it
-	toldAt time.Duration   // when they were two
-	ripe   bool            // it was lacked for long enough, and this was noticed in time
+	saved  bool             // it has told what was saved, and nothing since
+	names  map[string]bool  // of the nodes that it has a word on
+	words  uint64           // how often a word of it changed
+	lacked map[string]*loss // what its last whole list lacked and is not believed to be gone yet
+	losses []*loss          // the same, the oldest first
+}
+
+// loss is what one whole list lacked that the one before it did not, while that is doubted. Each counts for itself: a source that
+// loses its nodes little by little has lost as many in the end.
+type loss struct {
+	left   int           // so many names of it are lacked still
+	since  time.Duration // it is lacked since then, as far as this source was heard
+	hold   time.Duration // for how long it must be lacked
+	told   int           // lists that lacked it
+	toldAt time.Duration // when they were two
+	ripe   bool          // it was lacked for long enough, and this was noticed in time
 }
 
 // ghost is what is remembered of a node that is gone.
@@ -202,7 +209,7 @@
 func NewTable(rules Rules, sources ...Origin) *Table {
 	t := &Table{rules: rules.withDefaults(), members: map[string]*member{}, ghosts: map[string]ghost{}}
 	for _, o := range sources {
-		t.origins = append(t.origins, origin{Origin: o, names: map[string]bool{}})
+		t.origins = append(t.origins, origin{Origin: o, names: map[string]bool{}, lacked: map[string]*loss{}})
 	}
 	return t
 }
@@ -235,13 +242,13 @@
 		if l.Whole {
 			listed[n.Name] = true
 		}
-		delete(o.lacked, n.Name)
+		o.found(n.Name)
 		t.say(s, n, started(n.Started))
 	}
 	if l.Whole {
 		var missing []string
 		for name := range o.names {
-			if !listed[name] && !o.lacked[name] {
+			if !listed[name] && o.lacked[name] == nil {
 				missing = append(missing, name)
 			}
 		}
@@ -252,32 +259,47 @@
 	return t.out, bad
 }
 
-// lose deals with what a source's whole list lacks and was not lacked before.
+// found notes that a source's list has a name, or that it has said that the node is gone.
+func (o *origin) found(name string) {
+	l := o.lacked[name]
+	if l == nil {
+		return
+	}
+	delete(o.lacked, name)
+	if l.left--; l.left == 0 {
+		o.losses = slices.DeleteFunc(o.losses, func(other *loss) bool { return other == l })
+	}
+}
+
+// lose deals with what a source's whole list lacks and was not lacked before. What is doubted already counts in: a list that lacks
+// most nodes does so however many of them the one before had lost.
 func (t *Table) lose(s int, missing []string, l List) {
 	o := &t.origins[s]
-	if len(o.lacked) > 0 {
-		if o.told++; o.told == 2 {
-			o.toldAt = t.now
+	for _, known := range o.losses {
+		if known.told++; known.told == 2 {
+			known.toldAt = t.now
 		}
 	}
-	empty := len(l.Nodes) == 0 || l.Anew
-	doubtful := !o.Plain && len(missing) >= t.rules.LossLeast && float64(len(missing)) > t.rules.LossShare*float64(len(o.names))
-	if !o.Plain && empty && len(missing) > 0 {
-		doubtful = true // few, but all, or in a list of other data
+	if len(missing) == 0 {
+		return
 	}
-	if !doubtful {
+	empty := len(l.Nodes) == 0 || l.Anew
+	lacks := len(missing) + len(o.lacked)
+	doubtful := empty || lacks >= t.rules.LossLeast && float64(lacks) > t.rules.LossShare*float64(len(o.names)) // few, but all, or in a list of other data
+	if o.Plain || !doubtful {
 		for _, name := range missing {
 			t.drop(s, name)
 		}
-	} else {
-		if len(o.lacked) == 0 {
-			o.lacked, o.since, o.hold, o.told, o.ripe = map[string]bool{}, t.now, t.rules.LossFor, 1, false
-		}
-		if empty {
-			o.hold = t.rules.LossAll
-		}
-		for _, name := range missing {
-			o.lacked[name] = true
+		return
+	}
+	fresh := &loss{left: len(missing), since: t.now, hold: t.rules.LossFor, told: 1}
+	for _, name := range missing {
+		o.lacked[name] = fresh
+	}
+	o.losses = append(o.losses, fresh)
+	if empty {
+		for _, each := range o.losses {
+			each.hold = t.rules.LossAll
 		}
 	}
 }
@@ -287,38 +309,41 @@
 	t.say(s, Node{Name: name, State: decision.Gone}, 0)
 }
 
-// due is when what a source lacks is believed to be gone, if nothing else happens.
-func (o *origin) due() (time.Duration, bool) {
-	return max(o.since+o.hold, o.toldAt), len(o.lacked) > 0 && o.told >= 2 && !o.failed
+// due is when a loss is believed, if nothing else happens.
+func (l *loss) due(o *origin) (time.Duration, bool) {
+	return max(l.since+l.hold, l.toldAt), l.told >= 2 && !o.failed
 }
 
 // believe lets go what a source has lacked for long enough and says once more that it lacks. heard: it has said something just
 // now, and is not only silent.
 func (t *Table) believe(o *origin, heard bool) {
-	at, ok := o.due()
-	early := time.Duration(0)
-	if heard { // the next word may come much later
-		early = prompt
+	var ripe []*loss
+	for _, l := range o.losses {
+		at, ok := l.due(o)
+		early := time.Duration(0)
+		if heard { // the next word may come much later
+			early = prompt
+		}
+		switch {
+		case !ok || t.now < at-early:
+		case t.now-at > prompt && !l.ripe: // this process stood still: what it hears now may be old, and what was said since is not heard yet
+			l.since, l.told = t.now, 0
+		case !heard:
+			l.ripe = true
+		default:
+			ripe = append(ripe, l)
+		}
 	}
-	switch {
-	case !ok || t.now < at-early:
-	case t.now-at > prompt && !o.ripe: // this process stood still: what it hears now may be old, and what was said since is not heard yet
-		o.since, o.told = t.now, 0
-	case !heard:
-		o.ripe = true
-	default:
-		t.letGo(o)
+	if len(ripe) == 0 {
+		return
 	}
-}
-
-// letGo lets go what a source lacks.
-func (t *Table) letGo(o *origin) {
 	var names []string
-	for name := range o.lacked {
-		names = append(names, name)
+	for name, l := range o.lacked {
+		if slices.Contains(ripe, l) {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
-	o.lacked, o.ripe = nil, false
 	for _, name := range names {
 		t.drop(t.source(o.Name), name)
 	}
@@ -327,7 +352,10 @@
 // fail notes that a source can't be heard. Its last words stay.
 func (t *Table) fail(s int) {
 	o := &t.origins[s]
-	o.failed, o.since, o.told, o.ripe = true, t.now, 0, false // what it lacked counts from when it is heard again
+	o.failed = true
+	for _, l := range o.losses { // what it lacked counts from when it is heard again
+		l.since, l.told, l.ripe = t.now, 0, false
+	}
 }
 
 // Tick lets what has come due happen. Next tells when that is.
@@ -342,8 +370,10 @@
 		at, ok = t.waits[0].at, true
 	}
 	for i := range t.origins {
-		if due, waits := t.origins[i].due(); waits && !t.origins[i].ripe && (!ok || due < at) {
-			at, ok = due, true
+		for _, l := range t.origins[i].losses {
+			if due, waits := l.due(&t.origins[i]); waits && !l.ripe && (!ok || due < at) {
+				at, ok = due, true
+			}
 		}
 	}
 	return at, ok
@@ -384,7 +414,7 @@
 		v := View{Node: *w, ID: m.id, Belief: m.state, Since: m.since, Times: m.times, Source: o.Name,
 			Old: o.failed || o.saved}
 		for s := range t.origins {
-			v.Lacked = v.Lacked || t.origins[s].lacked[m.name]
+			v.Lacked = v.Lacked || t.origins[s].lacked[m.name] != nil
 		}
 		if m.state == Suspect {
 			v.Until = m.until
@@ -481,7 +511,7 @@
 			o.words++
 		}
 		delete(o.names, n.Name)
-		delete(o.lacked, n.Name)
+		o.found(n.Name)
 	case !knows:
 		m.words = slices.Insert(m.words, i, word{s, &n, started})
 		o.names[n.Name] = true
