--- a/config.go
+++ b/config.go
@@ -43,6 +43,26 @@
 	// Keys has the Door recognise idempotency keys, of requests by Do and over HTTP whose class is not safe to repeat: a repeat
 	// waits for the first one's answer or is given it again. nil: it does not.
 	Keys *keys.Limits
+	// KeysJournal keeps them on disk, so that they outlive the process. nil: they are held in memory alone.
+	KeysJournal *KeysJournal
+}
+
+// KeysJournal says how idempotency keys are kept on disk. A request with a key goes on once it is on disk that it may have run; what came of
+// it is written behind its answer.
+type KeysJournal struct {
+	// Dir is a directory of this Door's alone, which is made if it is not there.
+	Dir string
+	// Gather is how long a record waits for others to be written with it, if the disk is idle; 0: it does not wait. While the disk is
+	// busy, records gather by themselves.
+	Gather time.Duration
+	// SyncEvery is how far syncs are apart. 0: each group of records is synced before its requests go on, and no crash takes a key
+	// away. Else they go on when it is written, which outlives the process, and not always the machine.
+	SyncEvery time.Duration
+	// Patience is how long a request waits for the disk; 1 s.
+	Patience time.Duration
+	// Refuse has requests with keys refused that the disk does not take, as it is full or fails or takes longer than Patience. Else they
+	// go on, with their keys in memory alone until the disk takes them.
+	Refuse bool
 }
 
 // The defaults of Config.
@@ -53,6 +73,7 @@
 	defaultMaxOpen        = 4096
 	defaultBodyTimeout    = time.Second
 	defaultMaxAttempts    = 3
+	defaultPatience       = time.Second
 )
 
 func (c Config) withDefaults() (Config, error) {
@@ -72,6 +93,20 @@
 	if c.Protocol == "" {
 		c.Protocol = membership.ProtocolHTTP
 	}
+	if c.KeysJournal != nil {
+		j := *c.KeysJournal
+		err := cmp.Or(fill("KeysJournal.Patience", &j.Patience, defaultPatience), fill("KeysJournal.Gather", &j.Gather, 0),
+			fill("KeysJournal.SyncEvery", &j.SyncEvery, 0))
+		switch {
+		case err != nil:
+			return Config{}, err
+		case c.Keys == nil:
+			return Config{}, fmt.Errorf("%w: KeysJournal is set, and Keys is not", ErrConfig)
+		case j.Dir == "":
+			return Config{}, fmt.Errorf("%w: KeysJournal.Dir is empty", ErrConfig)
+		}
+		c.KeysJournal = &j
+	}
 	if err := c.Settings.Validate(); err != nil {
 		return Config{}, fmt.Errorf("%w: %w", ErrConfig, err)
 	}
--- a/door.go
+++ b/door.go
@@ -123,7 +123,7 @@
 const own = "own"
 
 // New makes a Door that serves at once; until it is told of backends it refuses everything. The error is an
-// ErrConfig or an ErrDoorTaken.
+// ErrConfig, an ErrJournal or an ErrDoorTaken.
 func New(config Config, options ...Option) (*Door, error) { return newDoor(config, nil, options) }
 
 // newDoor takes a decision module in place of the one that ships.
@@ -178,8 +178,12 @@
 			return nil, err
 		}
 	}
-	if config.Keys != nil {
-		d.keys = keyed.New(*config.Keys)
+	if err := d.openKeys(); err != nil {
+		d.driver.Stop()
+		if d.deployment != nil {
+			d.deployment.release(set.Me)
+		}
+		return nil, err
 	}
 	d.members = membership.NewTable(config.Membership, origins...)
 	known := config.Known
@@ -205,6 +209,22 @@
 	return d, nil
 }
 
+// openKeys has the Door recognise keys, if it is to.
+func (d *Door) openKeys() (err error) {
+	switch j := d.config.KeysJournal; {
+	case d.config.Keys == nil:
+	case j == nil:
+		d.keys = keyed.New(*d.config.Keys)
+	default:
+		d.keys, err = keyed.Open(*d.config.Keys, keyed.Journal{Dir: j.Dir, Gather: j.Gather, SyncEvery: j.SyncEvery, Patience: j.Patience,
+			Refuse: j.Refuse, Log: d.log})
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrJournal, err)
+		}
+	}
+	return nil
+}
+
 // origins are the names of the sources, by precedence.
 func (d *Door) origins() ([]membership.Origin, error) {
 	var out []membership.Origin
@@ -365,6 +385,10 @@
 	switch {
 	case err != nil && ctx.Err() != nil && errors.Is(err, context.Cause(ctx)):
 		return nil, left(ctx)
+	case errors.Is(err, keyed.ErrEnded):
+		return nil, ErrClosed
+	case errors.Is(err, keyed.ErrNotKept):
+		return nil, &RefusedError{RetryAfter: got.RetryAfter}
 	case err != nil:
 		return nil, err
 	}
@@ -538,7 +562,9 @@
 	d.stop()
 	d.driver.Stop()
 	if d.keys != nil {
-		d.keys.Close()
+		if err := d.keys.Close(); err != nil {
+			d.log.Error("keys are not all on disk", "err", err)
+		}
 	}
 	d.ran.Wait()
 	d.update.Lock()
--- a/errors.go
+++ b/errors.go
@@ -45,6 +45,9 @@
 
 	// ErrConfig: New was given what it cannot work with.
 	ErrConfig = errors.New("pumicecroft: bad configuration")
+	// ErrJournal: the journal of keys can't be used: its directory can't be read or is another process's, or what is in it is damaged, which the
+	// error tells with file and offset. Nothing in it was changed.
+	ErrJournal = errors.New("pumicecroft: the journal of keys")
 	// ErrDoorTaken: another Door of the deployment has this number.
 	ErrDoorTaken = errors.New("pumicecroft: the number belongs to another door of this deployment")
 )
--- /dev/null
+++ b/internal/journal/recover.go
@@ -0,0 +1,137 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Recover reads a log, and begins to go on with it: its first operations begin a new segment, as none that was there before is
+// written to again. numbers are the segments whose files are there, in any order; load reads the first bytes of one, most at the
+// most. each is given all records in their order, and says which slot one is of, or nil: nobody's. A record is good until each
+// returns. If there is no log, a new one begins, that is known by id.
+//
+// Nothing that is on disk is changed before Recover returns, and nothing is if it returns an error: that of load or each, or a
+// DamageError, or an ErrForeign.
+func Recover[T any](rules Rules, id uint64, numbers []uint64, load func(number uint64, most int64) ([]byte, error),
+	each func(rec []byte) (*Slot[T], error)) (*Log[T], error) {
+	l := &Log[T]{rules: rules.withDefaults(), id: id}
+	numbers = slices.Sorted(slices.Values(numbers))
+	heads := map[uint64]head{}
+	for _, n := range numbers {
+		b, err := load(n, headLen+1)
+		if err != nil {
+			return nil, fmt.Errorf("segment %d: %w", n, err)
+		}
+		h, err := readHead(n, b)
+		switch {
+		case errors.Is(err, errTorn) && len(b) > headLen: // no frame is written before the head is synced
+			return nil, &DamageError{n, 0, "its head makes no sense, and something stands behind it"}
+		case errors.Is(err, errTorn):
+		case err != nil:
+			return nil, err
+		default:
+			heads[n] = h
+		}
+		l.last = max(l.last, n)
+	}
+	chain, err := chainOf(numbers, heads)
+	if err != nil {
+		return nil, err
+	}
+	must := int64(headLen) // of the last segment
+	for len(chain) > 0 {
+		h := chain[len(chain)-1]
+		b, err := load(h.number, maxSegment)
+		if err != nil {
+			return nil, fmt.Errorf("segment %d: %w", h.number, err)
+		}
+		end, _, err := segmentFrames(b, h, headLen, func(int64, []byte) error { return nil })
+		if err != nil {
+			return nil, err
+		}
+		if end > headLen {
+			break
+		}
+		chain, must = chain[:len(chain)-1], max(headLen, h.good) // its head may never have been synced, and nothing is in it
+	}
+	for _, n := range numbers {
+		if !slices.ContainsFunc(chain, func(h head) bool { return h.number == n }) {
+			l.void = append(l.void, n)
+		}
+	}
+	for _, h := range chain {
+		if l.id = h.log; h.log != chain[0].log {
+			return nil, fmt.Errorf("segment %d: %w: it is one of log %x, and those before it are of %x", h.number, ErrForeign, h.log, chain[0].log)
+		}
+	}
+	for i, h := range chain {
+		b, err := load(h.number, maxSegment)
+		if err != nil {
+			return nil, fmt.Errorf("segment %d: %w", h.number, err)
+		}
+		must := must
+		if i+1 < len(chain) {
+			must = chain[i+1].good
+		}
+		g := &segment[T]{number: h.number}
+		g.size, g.synced, err = segmentFrames(b, h, must, func(at int64, payload []byte) error {
+			return records(payload, func(rec []byte) error {
+				s, err := each(rec)
+				if s.Drop(); s != nil && err == nil {
+					g.add(s, int64(len(rec))+4, uint64(at))
+				}
+				return err
+			})
+		})
+		if err != nil {
+			return nil, err
+		}
+		g.doubted = true
+		l.segments = append(l.segments, g)
+	}
+	// What a segment holds behind what is known to have been synced may be there in memory alone, and a sync that succeeds now
+	// says nothing if one before it failed: it is written again.
+	for _, g := range l.segments {
+		for s := g.last; s != nil && s.seq >= uint64(g.synced); s = g.last {
+			size := s.size
+			g.remove(s)
+			l.off.add(s, size, 0)
+		}
+	}
+	return l, nil
+}
+
+// chainOf is the segments that count, the oldest first: the last one that was begun and those that it goes back to. One that was given up
+// before anything was written to it is passed over by the one after it.
+func chainOf(numbers []uint64, heads map[uint64]head) (chain []head, err error) {
+	for i := len(numbers) - 1; i >= 0 && len(chain) == 0; i-- {
+		if h, ok := heads[numbers[i]]; ok {
+			chain = append(chain, h)
+		}
+	}
+	if len(chain) == 0 {
+		return nil, nil
+	}
+	for {
+		at := chain[len(chain)-1].before
+		h, ok := heads[at]
+		if !ok {
+			if slices.Contains(numbers, at) {
+				return nil, &DamageError{at, 0, "its head makes no sense, and it was in use"}
+			}
+			for _, n := range numbers { // they are removed in their order, so one that is older is not there either
+				if n < at && heads[n].number == n {
+					return nil, &DamageError{at, 0, fmt.Sprintf("it is missing, and segment %d, which is older, is there", n)}
+				}
+			}
+			break
+		}
+		if h.number >= chain[len(chain)-1].number {
+			return nil, fmt.Errorf("segment %d: %w: it goes back to segment %d", chain[len(chain)-1].number, ErrForeign, h.number)
+		}
+		chain = append(chain, h)
+	}
+	slices.Reverse(chain)
+	return chain, nil
+}
--- a/internal/keyed/keyed.go
+++ b/internal/keyed/keyed.go
@@ -1,5 +1,6 @@
 // Package keyed drives a keys.Store under the system's clock: one lock, one timer, and a goroutine for each request that
-// passes, so that it goes on for whoever waits when its own client has left. Nothing waits under the lock.
+// passes, so that it goes on for whoever waits when its own client has left. With a journal, a request goes on once it is on disk that it
+// may have run. Nothing waits under the lock.
 package keyed
 
 import (
@@ -8,33 +9,134 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
 	"pumicecroft/decision"
+	"pumicecroft/internal/journal"
+	"pumicecroft/internal/logfile"
 	"pumicecroft/keys"
 )
 
+// Journal says how keys are kept on disk.
+type Journal struct {
+	Dir       string        // this process's alone
+	Gather    time.Duration // how long a record waits for others that are written with it
+	SyncEvery time.Duration // 0: a request goes on when its record is synced; else when it is written, and syncs are so far apart
+	Patience  time.Duration // how long a request waits for the disk
+	// Refuse says what becomes of a request whose record the disk does not take: it is refused, or goes on with its key in memory alone.
+	Refuse bool
+	Log    *slog.Logger
+	files  logfile.Files // in place of Dir's, of tests
+}
+
+// ErrNotKept is why a request was refused that the journal did not take. It has never run.
+var ErrNotKept = errors.New("its key can't be kept on disk")
+
+// ErrEnded is why a request was refused that came after Close.
+var ErrEnded = errors.New("the keeper of keys was closed")
+
 // Keeper keeps keys. It is safe for concurrent use.
 type Keeper struct {
-	start  time.Time
-	secret [32]byte // so that nobody can make two requests of one digest
+	start   time.Time
+	secret  [32]byte // so that nobody can make two requests of one digest
+	journal *Journal // nil: there is none
 
 	mu    sync.Mutex
 	store *keys.Store
 	timer *time.Timer
 	at    time.Duration // when it comes; 0: it does not
 	ended bool
+	idle  chan struct{}                     // closed when it has ended and nothing is in flight
 	stops map[keys.Entry]context.CancelFunc // of what is in flight
+	log   *journal.Log[keys.Entry]
+	disk  *logfile.Runner[keys.Entry]
+	waits []durable // for records to be on disk, in the order of their numbers
+	down  bool      // it was told that the disk fails
+}
+
+// durable is one that waits for a record.
+type durable struct {
+	seq  uint64
+	told chan bool // holds one: whether it is there
 }
 
 // New makes an empty one.
 func New(l keys.Limits) *Keeper {
-	k := &Keeper{start: time.Now(), store: keys.New(l, 0), stops: map[keys.Entry]context.CancelFunc{}}
+	k := &Keeper{start: time.Now(), store: keys.New(l, 0), idle: make(chan struct{}), stops: map[keys.Entry]context.CancelFunc{}}
 	_, _ = rand.Read(k.secret[:]) // it never fails
 	return k
 }
 
+// Open makes one with what its journal holds. An error leaves the journal as it is.
+func Open(l keys.Limits, j Journal) (*Keeper, error) {
+	k := New(l)
+	k.journal = &j
+	files := j.files
+	if files == nil {
+		dir, err := logfile.OpenDir(j.Dir)
+		if err != nil {
+			return nil, err
+		}
+		files = dir
+	}
+	if err := k.recover(files); err != nil {
+		return nil, errors.Join(fmt.Errorf("the journal of keys in %s: %w", j.Dir, err), files.Close())
+	}
+	return k, nil
+}
+
+func (k *Keeper) recover(files logfile.Files) error {
+	numbers, err := files.List()
+	if err != nil {
+		return err
+	}
+	if k.journal.Dir != "" {
+		if err := k.keepSecret(len(numbers) == 0); err != nil {
+			return err
+		}
+	}
+	epoch := time.Duration(k.start.UnixNano())
+	k.log, err = journal.Recover(journal.Rules{Gather: k.journal.Gather, SyncEvery: k.journal.SyncEvery}, logfile.NewID(), numbers, files.Load,
+		func(rec []byte) (*journal.Slot[keys.Entry], error) { return k.store.Restore(k.now(), epoch, rec) })
+	if err != nil {
+		return err
+	}
+	k.store.Logs(k.log, epoch)
+	k.disk = logfile.Run(&k.mu, k.log, files, k.now, k.written)
+	return nil
+}
+
+// keepSecret reads the secret of digests that lies beside the journal, or makes it with a new journal: without it, no repeat
+// would be known for one.
+func (k *Keeper) keepSecret(fresh bool) error {
+	path := filepath.Join(k.journal.Dir, "secret")
+	b, err := os.ReadFile(path)
+	switch {
+	case err == nil && len(b) == len(k.secret):
+		copy(k.secret[:], b)
+		return nil
+	case err == nil && !fresh:
+		return fmt.Errorf("%s has %d bytes, not %d", path, len(b), len(k.secret))
+	case err != nil && !errors.Is(err, fs.ErrNotExist):
+		return err
+	case !fresh:
+		return fmt.Errorf("%s is missing, and the journal's digests were made with it", path)
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(k.secret[:])
+	return errors.Join(err, f.Sync(), f.Close()) // its name is synced with the first segment's
+}
+
 // Digest is a keyed digest of a request's parts, each in its own bounds.
 func (k *Keeper) Digest(parts ...[]byte) (d keys.Digest) {
 	h := hmac.New(sha256.New, k.secret[:])
@@ -72,12 +174,16 @@
 	run func(context.Context) Result) (keys.Decision, error) {
 	w := &waiter{ended: make(chan end, 1)}
 	k.mu.Lock()
+	if k.ended {
+		k.mu.Unlock()
+		return keys.Decision{Verdict: keys.Refused}, ErrEnded
+	}
 	now := k.now()
 	d, given := k.store.Ask(now, who, key, digest, w, now+timeout)
 	if d.Verdict == keys.Pass {
 		going, stop := context.WithCancel(context.WithoutCancel(ctx))
 		k.stops[d.Ticket.Entry()] = stop
-		go k.run(going, d.Ticket, run)
+		go k.run(going, d.Ticket, k.kept(d.Ticket), run)
 	}
 	k.give(given, nil)
 	k.mu.Unlock()
@@ -99,14 +205,81 @@
 	return keys.Decision{}, context.Cause(ctx)
 }
 
+// kept gives what tells whether the record that a request passed is on disk; nil: nothing is kept. It wants the lock.
+func (k *Keeper) kept(t *keys.Ticket) chan bool {
+	if k.log == nil {
+		return nil
+	}
+	told := make(chan bool, 1)
+	if t.Seq() == 0 {
+		told <- false
+		return told
+	}
+	k.waits = append(k.waits, durable{t.Seq(), told})
+	k.disk.Kick()
+	return told
+}
+
+// written is called after each operation on the journal's files, with the lock held.
+func (k *Keeper) written() {
+	n := 0
+	for ; n < len(k.waits); n++ {
+		w := k.waits[n]
+		if w.seq <= k.log.Durable() {
+			w.told <- true
+		} else if w.seq <= k.log.Lost() {
+			w.told <- false
+		} else {
+			break
+		}
+	}
+	k.waits = k.waits[n:]
+	k.store.Relog(k.now())
+	if err := k.log.Down(); (err != nil) != k.down {
+		k.down = err != nil
+		switch log := k.journal.Log; {
+		case log == nil:
+		case k.down:
+			log.Error("keys can't be kept on disk", "err", err, "requests with keys", map[bool]string{true: "are refused", false: "go on"}[k.journal.Refuse])
+		default:
+			log.Info("keys are kept on disk again")
+		}
+	}
+}
+
 // run makes a request that passed, and gives its end to all that wait for it.
-func (k *Keeper) run(ctx context.Context, t *keys.Ticket, run func(context.Context) Result) {
-	r := run(ctx)
+func (k *Keeper) run(ctx context.Context, t *keys.Ticket, kept chan bool, run func(context.Context) Result) {
+	var r Result
+	if kept == nil || k.await(ctx, kept) {
+		r = run(ctx)
+	} else if r = (Result{End: keys.NeverRan, Err: ErrNotKept}); ctx.Err() != nil {
+		r.Err = context.Cause(ctx)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.stops[t.Entry()]()
 	delete(k.stops, t.Entry())
 	k.give(k.store.Ended(k.now(), t, r.End, r.Answer), r.Err)
+	if k.disk != nil {
+		k.disk.Kick()
+	}
+	if k.ended && len(k.stops) == 0 {
+		close(k.idle)
+	}
+}
+
+// await waits until a request may go on, or tells that it must not.
+func (k *Keeper) await(ctx context.Context, kept chan bool) bool {
+	patience := time.NewTimer(k.journal.Patience)
+	defer patience.Stop()
+	select {
+	case ok := <-kept:
+		return ok || !k.journal.Refuse
+	case <-patience.C:
+		return !k.journal.Refuse
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // give tells those that have their end, and waits for the next; it wants the lock. err goes with what is not an answer and not
@@ -146,11 +319,30 @@
 	return k.store.Bytes(), k.store.Len(), k.store.Waiting()
 }
 
-// Close ends the timer. Requests that are out end by themselves.
-func (k *Keeper) Close() {
+// Journal tells what the journal takes on disk, and why it takes nothing, if it does not.
+func (k *Keeper) Journal() (journal.Usage, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.log == nil {
+		return journal.Usage{}, nil
+	}
+	return k.log.Usage(), k.log.Down()
+}
+
+// Close waits for the ends of what is in flight, which its caller has seen to, and writes what is to be written. It is called once, and nothing
+// may be asked of the Keeper any more.
+func (k *Keeper) Close() error {
+	k.mu.Lock()
 	if k.ended = true; k.timer != nil {
 		k.timer.Stop()
 	}
+	if len(k.stops) == 0 {
+		close(k.idle)
+	}
+	k.mu.Unlock()
+	<-k.idle
+	if k.disk == nil {
+		return nil
+	}
+	return k.disk.Close()
 }
--- a/internal/operator/keys.go
+++ b/internal/operator/keys.go
@@ -3,10 +3,11 @@
 import (
 	"time"
 
+	"pumicecroft"
 	"pumicecroft/keys"
 )
 
-// readKeys reads how idempotency keys are recognised at the edge.
+// readKeys reads how idempotency keys are recognised at the edge, and kept.
 func readKeys(d *document, s *section, f *File) *keys.Limits {
 	l := &keys.Limits{
 		Bytes:      s.whole("bytes", 64<<20, 64<<10, 1<<40),
@@ -20,6 +21,21 @@
 			d.bad(s.path, "keep_doubt", "%v is below the deadline and key window of class %q, %v: a repeat of what may have run would go on", l.KeepDoubt, c.Name, least)
 		}
 	}
+	if dir := s.text("journal", false); dir != "" {
+		f.Door.KeysJournal = &pumicecroft.KeysJournal{
+			Dir:       dir,
+			Gather:    s.duration("journal_gather", 0, 0, time.Second),
+			SyncEvery: s.duration("journal_sync", 0, 0, time.Minute),
+			Patience:  s.duration("journal_patience", time.Second, time.Millisecond, time.Minute),
+			Refuse:    s.oneOf("journal_down", "serve", "serve", "refuse") == 1,
+		}
+	} else {
+		for _, key := range []string{"journal_gather", "journal_sync", "journal_patience", "journal_down"} {
+			if _, there := s.get(key); there {
+				d.bad(s.path, key, "it is of no use without journal, the directory")
+			}
+		}
+	}
 	s.done()
 	return l
 }
--- /dev/null
+++ b/internal/simdisk/simdisk.go
@@ -0,0 +1,196 @@
+// Package simdisk is a disk in memory that loses what disks lose: what was not synced is there or not after a crash, sector by sector,
+// in any order; an operation may fail, and a sync that failed leaves what it was about unsynced for good, whatever later ones
+// say. It carries out package journal's operations. It is pure: chance is the caller's, and there is one caller at a time.
+package simdisk
+
+import (
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"pumicecroft/internal/journal"
+)
+
+// Sector is what a disk writes whole or not at all, in bytes.
+const Sector = 512
+
+// Errors that operations end with.
+var (
+	ErrFull  = errors.New("no space left on the disk")
+	ErrIO    = errors.New("input/output error")
+	errState = errors.New("simdisk: the operation does not fit what is there")
+)
+
+type file struct {
+	now, synced []byte
+	frozen      bool // a sync of it failed
+	listed      bool // its name survives a crash
+}
+
+func (f *file) clone() *file {
+	c := *f
+	c.now, c.synced = append([]byte(nil), f.now...), append([]byte(nil), f.synced...)
+	return &c
+}
+
+// Disk is one directory of files.
+type Disk struct {
+	files map[uint64]*file
+	gone  map[uint64]*file // removed, and it is not synced that they are
+	Room  int              // bytes that it has; 0: enough
+	// Fails is asked before each operation, and what it gives is how that ends. A write that fails leaves a part of its data.
+	Fails func(journal.Op) error
+	Part  func(n int) int // how much of n bytes a failed write leaves; nil: all
+}
+
+// New makes an empty one.
+func New() *Disk { return &Disk{files: map[uint64]*file{}, gone: map[uint64]*file{}} }
+
+// List names the segments that are there, in no order.
+func (d *Disk) List() (numbers []uint64) {
+	for n := range d.files {
+		numbers = append(numbers, n)
+	}
+	return numbers
+}
+
+// Load reads the first bytes of a segment.
+func (d *Disk) Load(number uint64, most int64) ([]byte, error) {
+	f := d.files[number]
+	if f == nil {
+		return nil, errState
+	}
+	return append([]byte(nil), f.now[:min(int64(len(f.now)), most)]...), nil
+}
+
+// Bytes is what all files take.
+func (d *Disk) Bytes() (n int) {
+	for _, f := range d.files {
+		n += len(f.now)
+	}
+	return n
+}
+
+// Do carries out an operation.
+func (d *Disk) Do(op journal.Op) error {
+	var err error
+	if d.Fails != nil {
+		err = d.Fails(op)
+	}
+	f := d.files[op.Segment]
+	switch op.Kind {
+	case journal.Create:
+		if f != nil {
+			return errState
+		}
+		if err != nil {
+			return err
+		}
+		d.files[op.Segment] = &file{}
+		return d.write(d.files[op.Segment], 0, op.Data, nil)
+	case journal.Write:
+		if f == nil || op.Offset != int64(len(f.now)) {
+			return errState
+		}
+		return d.write(f, op.Offset, op.Data, err)
+	case journal.Sync:
+		switch {
+		case f == nil:
+			return errState
+		case err != nil:
+			f.frozen = true
+		case !f.frozen:
+			f.synced = append([]byte(nil), f.now...)
+		}
+	case journal.SyncDir:
+		if err == nil {
+			for _, f := range d.files {
+				f.listed = true
+			}
+			clear(d.gone)
+		}
+	case journal.Remove:
+		if err == nil && f != nil {
+			delete(d.files, op.Segment)
+			if f.listed {
+				d.gone[op.Segment] = f
+			}
+		}
+	}
+	return err
+}
+
+// write appends, as far as there is room.
+func (d *Disk) write(f *file, at int64, data []byte, err error) error {
+	if room := d.Room - d.Bytes(); err == nil && d.Room > 0 && len(data) > room {
+		data, err = data[:max(0, room)], ErrFull
+	} else if err != nil && d.Part != nil {
+		data = data[:d.Part(len(data))]
+	}
+	f.now = append(f.now[:at], data...)
+	return err
+}
+
+// Crash stops the machine: what was not synced is there or not. What it leaves is synced. Chance hangs on rng alone.
+func (d *Disk) Crash(rng *rand.Rand) {
+	for _, n := range sorted(d.gone) {
+		if f := d.gone[n]; rng.IntN(2) == 0 {
+			d.files[n] = f
+		}
+	}
+	clear(d.gone)
+	for _, n := range sorted(d.files) {
+		f := d.files[n]
+		if !f.listed && rng.IntN(2) == 0 {
+			delete(d.files, n)
+			continue
+		}
+		length := len(f.synced)
+		if len(f.now) > length {
+			length += rng.IntN(len(f.now) - length + 1)
+		}
+		kept := make([]byte, length)
+		copy(kept, f.synced)
+		odds := rng.IntN(4) // a few sectors, or most
+		for at := len(f.synced) / Sector * Sector; at < length; at += Sector {
+			if rng.IntN(4) <= odds {
+				from := max(at, len(f.synced)) // what was synced is not written anew
+				copy(kept[from:min(at+Sector, length)], f.now[from:])
+			}
+		}
+		d.files[n] = &file{now: kept, synced: append([]byte(nil), kept...), listed: true}
+	}
+}
+
+// Clone is another disk that holds the same.
+func (d *Disk) Clone() *Disk {
+	c := New()
+	for n, f := range d.files {
+		c.files[n] = f.clone()
+	}
+	for n, f := range d.gone {
+		c.gone[n] = f.clone()
+	}
+	return c
+}
+
+// Damage changes a byte of a segment, which was synced, and tells whether there is one.
+func (d *Disk) Damage(number uint64, at int64, by byte) bool {
+	f := d.files[number]
+	if f == nil || at >= int64(len(f.now)) || by == 0 {
+		return false
+	}
+	f.now[at] ^= by
+	return true
+}
+
+// Segment is what a segment's file holds, not to be changed.
+func (d *Disk) Segment(number uint64) []byte {
+	if f := d.files[number]; f != nil {
+		return f.now
+	}
+	return nil
+}
+
+func sorted(m map[uint64]*file) []uint64 { return slices.Sorted(maps.Keys(m)) }
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pumicecroft/decision"
+	"pumicecroft/internal/journal"
 	"pumicecroft/internal/wheel"
 )
 
@@ -128,6 +129,7 @@
 	item  item
 	next  *Ticket // of those that wait with it
 	prev  *Ticket
+	seq   uint64 // of the record that its entry is in flight
 }
 
 type state uint8
@@ -159,6 +161,7 @@
 	older    *entry // among its owner's that may be evicted
 	younger  *entry
 	expireAt time.Duration
+	slot     journal.Slot[Entry]
 }
 
 // item is what a timer is for.
@@ -178,7 +181,7 @@
 
 // The cost of an entry beside its key and answer, and of one that waits, in bytes of memory: what the benchmark measures, rounded up.
 const (
-	entryCost  = 448
+	entryCost  = 496
 	ticketCost = 192
 )
 
@@ -194,6 +197,10 @@
 	bytes     int // all
 	waiting   int
 	given     []Given
+	log       *journal.Log[Entry] // nil: nothing is logged
+	epoch     time.Duration       // Unix time at the store's time 0
+	undecided []*entry            // that were in flight when the log was last written
+	rec       []byte
 }
 
 // tick is how finely times are told apart.
@@ -283,12 +290,7 @@
 
 // pass takes a new key in.
 func (s *Store) pass(who decision.CustomerID, key string, digest Digest, tag any) Decision {
-	c := s.customers[who]
-	if c == nil {
-		c = &customer{id: who, index: -1}
-		s.customers[who] = c
-		heap.Push(&s.most, c)
-	}
+	c := s.customer(who)
 	cost := entryCost + ticketCost + len(key)
 	c.asks = true
 	has := s.admits(c, cost) && s.room(c, cost)
@@ -297,16 +299,35 @@
 		s.letGo(c)
 		return Decision{Verdict: Busy, RetryAfter: s.limits.Advice}
 	}
-	e := &entry{name: name{who, key}, owner: c, digest: digest}
-	e.item.entry = e
-	e.timer.Value = &e.item
-	s.entries[e.name] = e
+	e := s.enter(c, key, digest)
 	s.charge(e, cost)
 	t := &Ticket{tag: tag, entry: e, first: true}
 	s.join(t)
+	t.seq = s.logs(e)
 	return Decision{Verdict: Pass, Ticket: t}
 }
 
+// customer gives a customer, who is not forgotten before letGo.
+func (s *Store) customer(who decision.CustomerID) *customer {
+	c := s.customers[who]
+	if c == nil {
+		c = &customer{id: who, index: -1}
+		s.customers[who] = c
+		heap.Push(&s.most, c)
+	}
+	return c
+}
+
+// enter makes an entry, which costs nothing yet.
+func (s *Store) enter(c *customer, key string, digest Digest) *entry {
+	e := &entry{name: name{c.id, key}, owner: c, digest: digest}
+	e.item.entry = e
+	e.timer.Value = &e.item
+	e.slot.Value = Entry{e}
+	s.entries[e.name] = e
+	return e
+}
+
 // Leave says that the client of a ticket is gone. nobody tells that none waits for its request any more: what it does then may be
 // called off, and its Ended is still owed, of the ticket that passed.
 func (s *Store) Leave(now time.Duration, t *Ticket) (nobody bool, given []Given) {
@@ -340,6 +361,7 @@
 	}
 	s.charge(e, -ticketCost) // of the one that passed, whether it has left or not
 	if end == NeverRan {
+		s.logsNeverRan(e)
 		s.forget(e)
 		return s.given
 	}
@@ -356,6 +378,7 @@
 	}
 	s.retire(e)
 	s.wheel.Add(&e.timer, e.expireAt)
+	s.logs(e)
 	return s.given
 }
 
@@ -429,6 +452,7 @@
 		e.older, e.younger = nil, nil
 	}
 	s.wheel.Remove(&e.timer)
+	e.slot.Drop()
 	delete(s.entries, e.name)
 	s.charge(e, -e.cost)
 	s.letGo(c)
