--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -196,7 +196,10 @@
 // it waits in vain.
 func (l *Log[T]) Durable() uint64 { return l.durable }
 
-// Lost is told with Durable.
+// Written is the number up to which all is with the operating system: it outlives the process, and not always the machine.
+func (l *Log[T]) Written() uint64 { return l.written }
+
+// Lost is told with Durable and Written.
 func (l *Log[T]) Lost() uint64 { return l.lost }
 
 // MostRecord is the most bytes of a record. A longer one is never taken, and its slot has none then.
--- a/internal/keyed/keyed.go
+++ b/internal/keyed/keyed.go
@@ -57,7 +57,8 @@
 	stops map[keys.Entry]context.CancelFunc // of what is in flight
 	log   *journal.Log[keys.Entry]
 	disk  *logfile.Runner[keys.Entry]
-	waits []durable // for records to be on disk, in the order of their numbers
+	waits []durable // for records to be durable, in the order of their numbers
+	ends  []durable // for records to be written
 	down  bool      // it was told that the disk fails
 }
 
@@ -183,7 +184,7 @@
 	if d.Verdict == keys.Pass {
 		going, stop := context.WithCancel(context.WithoutCancel(ctx))
 		k.stops[d.Ticket.Entry()] = stop
-		go k.run(going, d.Ticket, k.kept(d.Ticket), run)
+		go k.run(going, d.Ticket, now+timeout, k.kept(d.Ticket), run)
 	}
 	k.give(given, nil)
 	k.mu.Unlock()
@@ -220,20 +221,19 @@
 	return told
 }
 
-// written is called after each operation on the journal's files, with the lock held.
-func (k *Keeper) written() {
+// told tells those that wait what has become of their records, up to one number or another, and gives the rest.
+func told(waits []durable, there, lost uint64) []durable {
 	n := 0
-	for ; n < len(k.waits); n++ {
-		w := k.waits[n]
-		if w.seq <= k.log.Durable() {
-			w.told <- true
-		} else if w.seq <= k.log.Lost() {
-			w.told <- false
-		} else {
-			break
-		}
+	for ; n < len(waits) && waits[n].seq <= max(there, lost); n++ {
+		waits[n].told <- waits[n].seq <= there
 	}
-	k.waits = k.waits[n:]
+	return waits[n:]
+}
+
+// written is called after each operation on the journal's files, with the lock held.
+func (k *Keeper) written() {
+	k.waits = told(k.waits, k.log.Durable(), k.log.Lost())
+	k.ends = told(k.ends, k.log.Written(), k.log.Lost())
 	k.store.Relog(k.now())
 	if err := k.log.Down(); (err != nil) != k.down {
 		k.down = err != nil
@@ -248,13 +248,16 @@
 }
 
 // run makes a request that passed, and gives its end to all that wait for it.
-func (k *Keeper) run(ctx context.Context, t *keys.Ticket, kept chan bool, run func(context.Context) Result) {
+func (k *Keeper) run(ctx context.Context, t *keys.Ticket, until time.Duration, kept chan bool, run func(context.Context) Result) {
 	var r Result
 	if kept == nil || k.await(ctx, kept) {
 		r = run(ctx)
 	} else if r = (Result{End: keys.NeverRan, Err: ErrNotKept}); ctx.Err() != nil {
 		r.Err = context.Cause(ctx)
 	}
+	if k.log != nil && r.End == keys.Answered {
+		k.answers(t, r.Answer, until)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.stops[t.Entry()]()
@@ -268,6 +271,28 @@
 	}
 }
 
+// answers has an answer written before anybody is given it, so that a process that is killed right behind it is asked in vain for another. It
+// waits no longer than the disk is waited for, nor than the one that passed waits; those that joined are told by themselves when they are late.
+func (k *Keeper) answers(t *keys.Ticket, a keys.Answer, until time.Duration) {
+	written := make(chan bool, 1)
+	k.mu.Lock()
+	seq := k.store.Answers(k.now(), t, a)
+	if seq > 0 {
+		k.ends = append(k.ends, durable{seq, written})
+	}
+	k.mu.Unlock()
+	if seq == 0 {
+		return
+	}
+	k.disk.Kick()
+	patience := time.NewTimer(min(k.journal.Patience, until-k.now()))
+	defer patience.Stop()
+	select {
+	case <-written:
+	case <-patience.C:
+	}
+}
+
 // await waits until a request may go on, or tells that it must not.
 func (k *Keeper) await(ctx context.Context, kept chan bool) bool {
 	patience := time.NewTimer(k.journal.Patience)
--- a/internal/sim/sources.go
+++ b/internal/sim/sources.go
@@ -459,6 +459,7 @@
 		return func() {}
 	}
 	first := slices.IndexFunc(a.r.backends, func(b *backend) bool { return b.listed })
+	second := 1 + first + slices.IndexFunc(a.r.backends[1+first:], func(b *backend) bool { return b.listed })
 	some := func(b *backend) bool { return b.number != first }
 	all := func(*backend) bool { return true }
 	n := 0
@@ -470,7 +471,16 @@
 	switch {
 	case how%4 == 0 && n < 4: // fewer may be believed to be gone at once
 	case how%4 == 0:
-		a.lost = [2]func(*backend) bool{some, some}
+		left := 1
+		lacks := func(b *backend) bool { return some(b) && (left == 1 || b.number != second) }
+		if how > 0 && n > 4 { // little by little
+			left = 2
+			a.r.after(300*time.Millisecond, func() {
+				left = 1
+				a.change()
+			})
+		}
+		a.lost = [2]func(*backend) bool{lacks, lacks}
 	case how%4 == 1:
 		a.lost = [2]func(*backend) bool{all, nil}
 	case how%4 == 2:
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -161,6 +161,7 @@
 	older    *entry // among its owner's that may be evicted
 	younger  *entry
 	expireAt time.Duration
+	answers  bool // of one in flight: it has its answer, which its log is to have before anybody does
 	slot     journal.Slot[Entry]
 }
 
@@ -365,6 +366,7 @@
 		s.forget(e)
 		return s.given
 	}
+	logged := e.answers && end == Answered
 	cost, size := e.cost, len(a.Body)+len(a.ContentType)
 	s.charge(e, -cost)
 	e.state, e.expireAt = doubtful, s.now+s.limits.KeepDoubt
@@ -372,13 +374,16 @@
 		e.state, e.expireAt = answered, s.now+s.limits.Keep
 	}
 	s.charge(e, cost)
+	e.answers, e.kept, e.answer = false, false, Answer{}
 	if end == Answered && size <= s.limits.MostAnswer && s.room(e.owner, size) { // it is not evicted for its own answer: not yet
 		e.kept, e.answer = true, a
 		s.charge(e, size)
 	}
 	s.retire(e)
 	s.wheel.Add(&e.timer, e.expireAt)
-	s.logs(e)
+	if !logged {
+		s.logs(e)
+	}
 	return s.given
 }
 
--- a/keys/record.go
+++ b/keys/record.go
@@ -35,6 +35,22 @@
 // 0: the log takes nothing now, or there is none.
 func (t *Ticket) Seq() uint64 { return t.seq }
 
+// Answers says that the request of a ticket that passed was answered, for the store's log alone: it has the answer then before
+// Ended gives it to anybody, which is owed as before. It gives the number of its record; 0: there is none.
+func (s *Store) Answers(now time.Duration, t *Ticket, a Answer) uint64 {
+	s.now = max(s.now, now)
+	e := t.entry
+	if s.log == nil || !t.first || e.state != inFlight || s.entries[e.name] != e {
+		return 0
+	}
+	e.answers, e.expireAt = true, s.now+s.limits.Keep
+	if e.answer = a; len(a.Body)+len(a.ContentType) > s.limits.MostAnswer {
+		e.answer = Answer{}
+	}
+	e.kept = len(e.answer.Body) == len(a.Body)
+	return s.logs(e)
+}
+
 // Restore takes in a record of the store's log, which is being recovered, in the order of the records; epoch is the Unix time
 // at the store's time 0. What was in flight when the process ended may have run: it is undecided, for KeepDoubt from now. A time of expiry that
 // is later than it can have been made is the work of a clock that was put back, and counts as Keep from now. What has expired is
@@ -122,10 +138,10 @@
 	}
 	kind := uint8(recFlight)
 	switch {
-	case e.state == answered && e.kept:
-		kind = recKept
-	case e.state == answered:
-		kind = recDone
+	case e.state == inFlight && e.answers, e.state == answered:
+		if kind = recDone; e.kept {
+			kind = recKept
+		}
 	case e.state == doubtful:
 		kind = recDoubt
 	}
@@ -145,7 +161,7 @@
 
 func (s *Store) record(kind uint8, e *entry) []byte {
 	expires := uint64(0)
-	if e.state != inFlight {
+	if e.state != inFlight || e.answers {
 		expires = uint64((e.expireAt + s.epoch) / time.Millisecond)
 	}
 	var a Answer
