--- a/door.go
+++ b/door.go
@@ -371,8 +371,13 @@
 	attempts := 0
 	msg.Body = slices.Clone(msg.Body) // the request goes on when its caller has left, who may then change it
 	digest := d.keys.Digest([]byte(r.Class), []byte(msg.Method), []byte(msg.Target), []byte(msg.ContentType), msg.Body)
+	came := time.Now()
 	got, err := d.keys.Do(ctx, decision.CustomerID(r.Customer), r.Key, digest, r.Timeout-core.LastMargin, func(ctx context.Context) keyed.Result {
-		a, err := d.send(ctx, r, msg)
+		left := *r // it may have waited for the disk
+		if left.Timeout -= time.Since(came); left.Timeout <= LeastTimeout {
+			return keyed.Result{End: keys.NeverRan, Err: &RefusedError{RetryAfter: d.config.Keys.Advice}}
+		}
+		a, err := d.send(ctx, &left, msg)
 		switch {
 		case err == nil:
 			attempts = a.Attempts
--- a/door_keys_test.go
+++ b/door_keys_test.go
@@ -235,3 +235,29 @@
 		t.Errorf("refused: %v; another customer's: %v", busy, err)
 	}
 }
+
+// A disk that hangs takes no client beyond its time: what waited for it goes on with what is left.
+func TestAJournalOnASlowDisk(t *testing.T) {
+	dir := t.TempDir()
+	r := hosttest.New(t, 1, func(a standin.Attempt) standin.Act {
+		if a.Key == "slow" {
+			return standin.Hang
+		}
+		return standin.Work
+	}, func(c *pumicecroft.Config) {
+		c.Keys, c.KeysJournal = &keys.Limits{}, &pumicecroft.KeysJournal{Dir: dir, Gather: time.Second, Patience: 400 * time.Millisecond}
+	})
+	for _, c := range []struct {
+		key     string
+		timeout time.Duration
+		want    error
+	}{{"slow", 900 * time.Millisecond, pumicecroft.ErrFailed}, {"short", 300 * time.Millisecond, nil}, {"good", 5 * time.Second, nil}} {
+		req := keyed("once", c.key, "b")
+		req.Timeout = c.timeout
+		start := time.Now()
+		_, err := r.Door.Do(t.Context(), req)
+		if took := time.Since(start); !errors.Is(err, c.want) || took > c.timeout {
+			t.Errorf("%s: %v after %v of %v, want %v", c.key, err, took, c.timeout, c.want)
+		}
+	}
+}
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -34,7 +34,8 @@
 	}
 	effects                       map[effectOf]int
 	keys                          map[uint64]int   // effects of each
-	once                          map[effectOf]int // effects of each key at a process
+	once                          map[effectOf]int // effects of each key at a process, or at a door with a journal
+	loose                         map[uint64]bool  // keys that went on with nothing on disk, as is stated
 	served, refused, failed, lost int
 	counted, left                 int // attempts
 }
@@ -153,6 +154,9 @@
 	// Where the door recognises keys and has room for all, a key has its effect once, whoever asks how often.
 	if !a.safe() && c.r.shape.keys >= 1<<20 && (a.class == "once" || j.first) {
 		of := effectOf{mix(a.key ^ uint64(a.customer)<<40), a.door, a.epoch}
+		if c.r.shape.journal && !c.loose[a.key] {
+			of.epoch = 0
+		}
 		if c.once[of]++; c.once[of] > 1 {
 			c.w.broken("effects stay single", "the key of ask %d has had its effect %d times", a.number, c.once[of])
 		}
@@ -254,6 +258,11 @@
 		if d.keys != nil && (d.keys.Waiting() > 0 || len(d.passed) > 0) {
 			c.w.broken("everything is given back", "at door %d %d wait with a key and %d are in flight by one", d.number, d.keys.Waiting(), len(d.passed))
 		}
+		if log := d.journal.log; log != nil {
+			if u := log.Usage(); log.Down() != nil || u.Off > 0 || u.Pending > 0 || u.Bytes > 2*u.Live+4*journalRules.SegmentBytes {
+				c.w.broken("everything is given back", "door %d's journal ends as %+v, %v", d.number, u, log.Down())
+			}
+		}
 		known := map[string]bool{}
 		for _, v := range d.table.Views() {
 			b := c.r.byName[v.Name]
--- a/internal/sim/client.go
+++ b/internal/sim/client.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"pumicecroft/internal/core"
 	"pumicecroft/internal/httpwire"
 	"pumicecroft/keys"
 )
@@ -60,6 +61,12 @@
 // storeKey is what the door knows it by.
 func (a *ask) storeKey() string { return fmt.Sprintf("%s-%x", a.class, a.key) }
 
+// whole is its key with all that the door knows beside it.
+func (a *ask) whole() string { return fmt.Sprintf("%d-%s-%d", a.customer, a.storeKey(), a.digest) }
+
+// until is when its door gives up on it, after its arrival.
+func (a *ask) until() time.Duration { return a.timeout - core.LastMargin }
+
 // padding is what bodies are made of.
 var padding = strings.Repeat("x", 40<<10)
 
--- a/internal/sim/door.go
+++ b/internal/sim/door.go
@@ -30,8 +30,9 @@
 	lanes       map[any]time.Duration // when the last of it is seen
 	out         map[*attempt]bool
 	keys        *keys.Store      // nil: it recognises none
-	alarms      [4]time.Duration // when core, table, pool and keys are called next; 0: not planned
-	open        int              // connections
+	alarms      [5]time.Duration // when core, table, pool, keys and their journal are called next; 0: not planned
+	journal     journaled
+	open        int // connections
 	links       map[*link]bool
 	dials       uint64
 	descriptors int // connections that it may have
@@ -86,11 +87,14 @@
 	d.core = core.New(decider, set.Classes, core.Limits{Open: d.r.shape.mostOpen, Attempts: d.r.shape.mostAttempts, Ids: d.r.shape.mostIDs,
 		Remember: 15 * time.Second}, d.w.now)
 	d.fleet = httpwire.NewFleet(d.r.shape.conns, d.r.shape.idle, nil)
-	d.out, d.held, d.links, d.open, d.alarms = map[*attempt]bool{}, nil, map[*link]bool{}, 0, [4]time.Duration{}
+	d.out, d.held, d.links, d.open, d.alarms = map[*attempt]bool{}, nil, map[*link]bool{}, 0, [5]time.Duration{}
 	d.passed = map[keys.Entry]*ask{}
 	if d.keys = nil; d.r.shape.keys > 0 {
 		d.keys = keys.New(keys.Limits{Bytes: d.r.shape.keys, Keep: time.Hour}, d.w.now)
 	}
+	if d.journal.log = nil; d.keys != nil && d.r.shape.journal {
+		d.openJournal()
+	}
 	d.begin()
 }
 
@@ -174,9 +178,27 @@
 	if !a.safe() && d.keys != nil && !d.asksKey(a) {
 		return
 	}
+	if a.ticket != nil && d.journal.log != nil {
+		d.onceKept(a, func() { d.enter(a) })
+		d.arm()
+		return
+	}
+	d.enter(a)
+}
+
+// enter lets an ask in.
+func (d *door) enter(a *ask) {
+	if a.ticket != nil && !d.goesOn(a) {
+		return
+	}
+	left := a.timeout - (d.w.now - a.arrived) // it may have waited for the disk
+	if left <= core.PatienceMargin {
+		d.endKey(a, keys.NeverRan, "refused")
+		return
+	}
 	effects, err := d.core.Arrive(d.w.now, a, decision.Request{ID: decision.RequestID(a.id), Customer: decision.CustomerID(a.customer), Class: a.class,
-		Plan: d.r.plan(a.customer), Units: a.units, Patience: a.timeout - core.PatienceMargin, Spread: d.r.shape.doors, Protocol: membership.ProtocolHTTP},
-		a.timeout-core.LastMargin)
+		Plan: d.r.plan(a.customer), Units: a.units, Patience: left - core.PatienceMargin, Spread: d.r.shape.doors, Protocol: membership.ProtocolHTTP},
+		left-core.LastMargin)
 	d.carry(effects)
 	if err != nil {
 		a.turnedAway = true
@@ -234,6 +256,10 @@
 	d.give(given, "late")
 	a.ticket = got.Ticket
 	d.w.tell("the key of %d: %v", a.number, got.Verdict.String())
+	if answer, known := d.journal.known[a.whole()]; known && d.r.shape.keys >= 1<<20 && d.journal.log != nil &&
+		(got.Verdict != keys.Replay || string(got.Answer.Body) != answer) {
+		d.w.broken("what was answered is answered alike", "door %d had answered the key of ask %d, and says %v", d.number, a.number, got.Verdict)
+	}
 	switch got.Verdict {
 	case keys.Pass:
 		d.passed[got.Ticket.Entry()] = a
@@ -260,12 +286,19 @@
 	if !d.goesOn(a) {
 		return false
 	}
-	delete(d.passed, a.ticket.Entry())
-	var answer keys.Answer
-	if end == keys.Answered {
-		answer.Body = a.reply.Body
+	finish := func() {
+		delete(d.passed, a.ticket.Entry())
+		var answer keys.Answer
+		if end == keys.Answered {
+			answer.Body = a.reply.Body
+		}
+		d.give(d.keys.Ended(d.w.now, a.ticket, end, answer), verdict)
+	}
+	if end == keys.Answered && d.journal.log != nil {
+		d.onceWritten(a, finish)
+	} else {
+		finish()
 	}
-	d.give(d.keys.Ended(d.w.now, a.ticket, end, answer), verdict)
 	return true
 }
 
@@ -302,7 +335,7 @@
 	if a.finals == 0 {
 		d.c.final(a, "left", nil)
 	}
-	if nobody {
+	if nobody && first != nil {
 		d.carry(d.core.Leave(d.w.now, first, decision.RequestID(first.id)))
 	}
 }
@@ -317,33 +350,36 @@
 
 // arm plans when core, table and pool are called next.
 func (d *door) arm() {
-	plan := func(i int, at time.Duration, ok bool, do func()) {
-		if !ok || d.alarms[i] > d.w.now && d.alarms[i] <= at {
-			return
-		}
-		at = max(at, d.w.now)
-		d.alarms[i] = at
-		epoch := d.epoch
-		d.w.at(at, func() {
-			d.in(epoch, nil, func() {
-				if d.alarms[i] == at {
-					d.alarms[i] = 0
-				}
-				do()
-				d.arm()
-			})
-		})
-	}
 	at, ok := d.core.Next()
-	plan(0, at, ok, func() { d.carry(d.core.Tick(d.w.now)) })
+	d.plan(0, at, ok, func() { d.carry(d.core.Tick(d.w.now)) })
 	at, ok = d.table.Next()
-	plan(1, at, ok, func() { d.changed(decision.ListChanges, d.table.Tick(d.w.now)) })
+	d.plan(1, at, ok, func() { d.changed(decision.ListChanges, d.table.Tick(d.w.now)) })
 	at, ok = d.fleet.Pool.Next()
-	plan(2, at, ok, func() { d.fleet.Pool.Sweep(d.w.now); d.tidy() })
+	d.plan(2, at, ok, func() { d.fleet.Pool.Sweep(d.w.now); d.tidy() })
 	if d.keys != nil {
 		at, ok = d.keys.Next()
-		plan(3, at, ok, func() { d.give(d.keys.Tick(d.w.now), "late") })
+		d.plan(3, at, ok, func() { d.give(d.keys.Tick(d.w.now), "late") })
 	}
+	d.pump()
+}
+
+// plan plans one of these calls, in place of a later one.
+func (d *door) plan(i int, at time.Duration, ok bool, do func()) {
+	if !ok || d.alarms[i] > d.w.now && d.alarms[i] <= at {
+		return
+	}
+	at = max(at, d.w.now)
+	d.alarms[i] = at
+	epoch := d.epoch
+	d.w.at(at, func() {
+		d.in(epoch, nil, func() {
+			if d.alarms[i] == at {
+				d.alarms[i] = 0
+			}
+			do()
+			d.arm()
+		})
+	})
 }
 
 // tidy closes what the pool has let go of.
@@ -551,6 +587,7 @@
 		d.w.after(patience, func() {
 			d.in(epoch, nil, func() {
 				d.carry(d.core.Abort(d.w.now))
+				d.endJournal()
 				d.fleet.Close()
 				d.tidy()
 				d.c.shut(d)
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pumicecroft/decision"
+	"pumicecroft/internal/simdisk"
 )
 
 // shape is the size of a run.
@@ -27,7 +28,8 @@
 	mostOpen, mostAttempts, mostIDs   int
 	forgets                           bool // so few ids that some are forgotten early
 	aim, deadline                     time.Duration
-	keys                              int // bytes for keys at the edge; 0: none are recognised
+	keys                              int  // bytes for keys at the edge; 0: none are recognised
+	journal                           bool // they are on disk
 }
 
 // drawShape draws the size of a run.
@@ -55,6 +57,7 @@
 		s.mostIDs, s.forgets = 8, true
 	}
 	s.keys = []int{0, 0, 1 << 20, 8 << 10}[rng.IntN(4)]
+	s.journal = s.keys > 0 && rng.IntN(2) == 0
 	return s
 }
 
@@ -113,6 +116,7 @@
 	r := &runner{world: newWorld(seed, o.Trace), byName: map[string]*backend{}, byAddr: map[string]*backend{}, meters: map[int]*meter{},
 		floods: map[int]bool{}, leaving: map[int]float64{}, replays: map[int]float64{}, presses: map[int]float64{}}
 	r.check.w, r.check.r, r.check.effects, r.check.keys, r.check.once = r.world, r, map[effectOf]int{}, map[uint64]int{}, map[effectOf]int{}
+	r.check.loose = map[uint64]bool{}
 	r.agent = &agent{r: r, index: 100, fails: map[*door]int{}}
 	return r
 }
@@ -251,7 +255,7 @@
 func (r *runner) begin(f Fault) {
 	r.tell("fault: %v", f)
 	switch f.Kind { // a script may be an older world's
-	case Pause, Kill, KillCounting, KillAnswering, Shutdown, ListLag, ListFail, Descriptors, MeterLoss:
+	case Pause, Kill, KillCounting, KillAnswering, Shutdown, ListLag, ListFail, Descriptors, MeterLoss, Disk:
 		f.Target %= len(r.doors)
 	case Flood, Leaving, Press, Replay, CounterLoss:
 	default:
@@ -299,6 +303,20 @@
 		d := r.doors[f.Target]
 		d.deaf = true
 		end(func() { d.deaf = false })
+	case Disk:
+		j := &r.doors[f.Target].journal
+		if j.disk == nil {
+			break
+		}
+		switch f.Other % 3 {
+		case 0:
+			j.fails = simdisk.ErrIO
+		case 1:
+			j.disk.Room = j.disk.Bytes() + f.Other*100
+		default:
+			j.slow = 2 * f.For
+		}
+		end(func() { j.fails, j.disk.Room, j.slow = nil, 0, 0 })
 	case Flood:
 		r.floods[f.Target] = true
 		end(func() { r.floods[f.Target] = false })
@@ -372,10 +390,33 @@
 		return
 	}
 	r.tell("door %d is killed", f.Target)
+	r.again(d, f.For)
 	d.kill()
+	if f.Other%2 == 1 { // its machine with it
+		d.crash()
+	}
 	r.back(d, f.For)
 }
 
+// again has clients whose asks end with a door's process press once more, at the next one, where that may know of them.
+func (r *runner) again(d *door, after time.Duration) {
+	if d.journal.log == nil {
+		return
+	}
+	for _, a := range r.check.owedAsks {
+		if a.door != d || a.epoch != d.epoch || a.finals > 0 || a.safe() {
+			continue
+		}
+		twin := &ask{class: a.class, key: a.key, customer: a.customer, timeout: a.timeout, units: a.units, size: a.size, digest: a.digest, pressed: true, tainted: true}
+		a.tainted = true
+		r.after(after+between(r.chance(24, uint64(a.number)), 0, time.Second), func() {
+			if !r.over {
+				r.ask(twin, d.number, len(r.doors))
+			}
+		})
+	}
+}
+
 func (r *runner) back(d *door, after time.Duration) {
 	r.after(after, func() {
 		if !d.up {
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -45,12 +45,13 @@
 	CounterLoss               // the shared counter behind the meter loses a part of its counts at once, and of those that come
 	Press                     // clients press twice: the same key once more, at the same door, at once or later
 	Replay                    // clients ask with an id that they have used
+	Disk                      // the disk of a door's journal fails, is full, or is slow
 	kinds
 )
 
 var kindNames = [kinds]string{"refuse-conn", "hang-conn", "break-unheard", "break-ran", "silence", "delay", "dribble", "spoil", "behind", "errors",
 	"turn-away", "slow", "partition", "descriptors", "drain", "restart", "move", "deregister", "pause", "kill", "kill-counting", "kill-answering",
-	"shutdown", "list-lag", "list-fail", "list-loss", "meter-loss", "flood", "leaving", "counter-loss", "press", "replay"}
+	"shutdown", "list-lag", "list-fail", "list-loss", "meter-loss", "flood", "leaving", "counter-loss", "press", "replay", "disk"}
 
 // String is the kind's name.
 func (k Kind) String() string { return kindNames[k] }
@@ -97,7 +98,7 @@
 		f := Fault{Kind: on[rng.IntN(len(on))], At: between(rng, 0, c.length*4/5), For: between(rng, 10*time.Millisecond, 4*time.Second),
 			Other: rng.IntN(12), Share: []float64{0.1, 0.5, 1}[rng.IntN(3)]}
 		switch f.Kind {
-		case Pause, Kill, KillCounting, KillAnswering, Shutdown, ListLag, ListFail, Descriptors, MeterLoss:
+		case Pause, Kill, KillCounting, KillAnswering, Shutdown, ListLag, ListFail, Descriptors, MeterLoss, Disk:
 			f.Target = rng.IntN(c.doors)
 		case Flood, Leaving, Press, Replay:
 			f.Target = rng.IntN(c.customers)
