--- /dev/null
+++ b/bench_keys_test.go
@@ -0,0 +1,60 @@
+package pumicecroft_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/decision"
+	"pumicecroft/keys"
+	"pumicecroft/membership"
+)
+
+// A request with a key by Do, 64 at once, with keys not recognised, recognised, and kept on disk, in one run: the figure to look at is a way's
+// over that of "off".
+func BenchmarkKeyedRequest(b *testing.B) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }))
+	b.Cleanup(backend.Close)
+	for _, way := range []string{"off", "on", "journal", "journal, synced each second"} {
+		b.Run(way, func(b *testing.B) {
+			c := pumicecroft.Config{Settings: decision.Settings{CanCancel: true,
+				Classes: []decision.Class{{Name: "pay", Effect: decision.Keyed, KeyWindow: time.Second, Aim: 10 * time.Second, Deadline: 20 * time.Second, Worth: 1}},
+				Plans:   []decision.Plan{{Name: "basic", Rate: 1e6, Burst: 1e6, Price: 1}}},
+				Known: membership.List{Nodes: []membership.Node{{Name: "one", Addr: strings.TrimPrefix(backend.URL, "http://")}}}}
+			if way != "off" {
+				c.Keys = &keys.Limits{Bytes: 1 << 30}
+			}
+			switch way {
+			case "journal":
+				c.KeysJournal = &pumicecroft.KeysJournal{Dir: b.TempDir()}
+			case "journal, synced each second":
+				c.KeysJournal = &pumicecroft.KeysJournal{Dir: b.TempDir(), SyncEvery: time.Second}
+			}
+			door, err := pumicecroft.New(c)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer door.Close(b.Context())
+			var n, failed atomic.Int64
+			b.SetParallelism(8)
+			before := cpu()
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					i := n.Add(1)
+					if _, err := door.Do(b.Context(), pumicecroft.Request{Class: "pay", Plan: "basic", Customer: uint64(i % 100), Key: fmt.Sprint("k", i), Body: []byte("b")}); err != nil {
+						failed.Add(1)
+					}
+				}
+			})
+			b.StopTimer()
+			b.ReportMetric(float64((cpu()-before).Microseconds())/float64(b.N), "cpu-us/op")
+			b.ReportMetric(100*float64(failed.Load())/float64(b.N), "refused-%")
+		})
+	}
+}
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -1,6 +1,7 @@
 package keys
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -13,6 +14,8 @@
 	"pgregory.net/rapid"
 
 	"pumicecroft/decision"
+	"pumicecroft/internal/journal"
+	"pumicecroft/internal/simdisk"
 )
 
 // model is a store without a bound, as plainly as it can be said.
@@ -330,34 +333,149 @@
 	}
 }
 
-// BenchmarkKeyed is a keyed request with its end, with n keys held, and what an entry takes of memory beside what it is charged.
+// BenchmarkKeyed is a keyed request with its end, with n keys held, without a log and with one whose disk takes no time; and what an entry
+// takes of memory beside what it is charged.
 func BenchmarkKeyed(b *testing.B) {
 	for _, n := range []int{1, 1000, 1_000_000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			var before, after runtime.MemStats
-			runtime.GC()
-			runtime.ReadMemStats(&before)
-			s := New(Limits{Bytes: 4 << 30, Keep: time.Duration(n) * time.Microsecond}, 0)
-			now, rng := time.Duration(0), rand.New(rand.NewPCG(1, 2))
-			body := Answer{Status: 200, Body: []byte("done")}
-			one := func() {
-				now += time.Microsecond
-				key := fmt.Sprintf("%016x", rng.Uint64())
-				if d, _ := s.Ask(now, decision.CustomerID(rng.IntN(1000)), key, Digest{}, nil, now+time.Second); d.Verdict == Pass {
-					s.Ended(now, d.Ticket, Answered, body)
-				}
+		for _, logged := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d,log=%v", n, logged), func(b *testing.B) { benchmarkKeyed(b, n, logged) })
+		}
+	}
+}
+
+func benchmarkKeyed(b *testing.B, n int, logged bool) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	s := New(Limits{Bytes: 4 << 30, Keep: time.Duration(n) * time.Microsecond}, 0)
+	var log *journal.Log[Entry]
+	if logged {
+		log, _ = journal.Recover[Entry](journal.Rules{}, 1, nil, nil, nil)
+		s.Logs(log, 0)
+	}
+	now, rng := time.Duration(0), rand.New(rand.NewPCG(1, 2))
+	body := Answer{Status: 200, Body: []byte("done")}
+	asked := 0
+	one := func() {
+		now += time.Microsecond
+		key := fmt.Sprintf("%016x", rng.Uint64())
+		if d, _ := s.Ask(now, decision.CustomerID(rng.IntN(1000)), key, Digest{}, nil, now+time.Second); d.Verdict == Pass {
+			s.Ended(now, d.Ticket, Answered, body)
+		}
+		if asked++; logged && asked%64 == 0 { // a group
+			s.Relog(now)
+			for op := log.Next(now); op.Kind != journal.Nothing; op = log.Next(now) {
+				log.Done(now, nil)
+				s.Relog(now)
+			}
+		}
+	}
+	for range n {
+		one()
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(max(1, s.Len())), "B/entry")
+	b.ReportMetric(float64(s.Bytes())/float64(max(1, s.Len())), "charged/entry")
+	b.ReportAllocs()
+	for b.Loop() {
+		one()
+	}
+}
+
+// Bytes that nobody wrote are an error or an entry that is within its bounds, and never bring the store down.
+func FuzzRestore(f *testing.F) {
+	s := New(Limits{}, 0)
+	s.Logs(first(journal.Recover[Entry](journal.Rules{}, 1, nil, nil, nil)), 0)
+	d, _ := s.Ask(0, 7, "key", Digest{1}, nil, time.Second)
+	f.Add(append([]byte(nil), s.record(recFlight, d.Ticket.entry)...))
+	d.Ticket.entry.answer = Answer{200, "text/plain", []byte("done")}
+	f.Add(append([]byte(nil), s.record(recKept, d.Ticket.entry)...))
+	f.Fuzz(func(t *testing.T, rec []byte) {
+		s := New(Limits{Bytes: 4096}, 0)
+		for range 2 { // the second takes the place of the first
+			slot, err := s.Restore(time.Second, 0, rec)
+			if err != nil && !errors.Is(err, ErrRecord) || (slot != nil) != (s.Len() == 1) || s.Bytes() > 4096 || s.Len() > 1 {
+				t.Fatalf("%v, %v: %d keys of %d bytes", slot, err, s.Len(), s.Bytes())
+			}
+		}
+		if at, ok := s.Next(); ok != (s.Len() == 1) || ok && at > time.Second+s.limits.Keep+time.Minute {
+			t.Fatalf("%d keys, and the next end is at %v", s.Len(), at)
+		}
+	})
+}
+
+func first[T any](v T, _ error) T { return v }
+
+// Whatever becomes of keys, a store that reads the log of another knows of each key what that knew, or, of one in flight, that nothing
+// is known; and what was let go for room or time at the most.
+func TestRestoredLikeItWas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		rng := rand.New(rand.NewPCG(seed, 3))
+		limits := Limits{Bytes: 64 << 10, MostAnswer: 200, Keep: 500 * time.Millisecond, KeepDoubt: 300 * time.Millisecond}
+		disk, rules := simdisk.New(), journal.Rules{SegmentBytes: 4 << 10, MostPending: 8 << 10}
+		begin := func(now time.Duration) (*Store, *journal.Log[Entry]) {
+			s := New(limits, now)
+			log, err := journal.Recover(rules, 1, disk.List(), disk.Load, func(rec []byte) (*journal.Slot[Entry], error) { return s.Restore(now, time.Hour, rec) })
+			if err != nil {
+				t.Fatal(err)
 			}
-			for range n {
-				one()
+			s.Logs(log, time.Hour)
+			return s, log
+		}
+		now := time.Duration(0)
+		s, log := begin(now)
+		flush := func() {
+			s.Relog(now)
+			for op := log.Next(now); op.Kind != journal.Nothing; op = log.Next(now) {
+				log.Done(now, disk.Do(op))
+				s.Relog(now)
 			}
-			runtime.GC()
-			runtime.ReadMemStats(&after)
-			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(max(1, s.Len())), "B/entry")
-			b.ReportMetric(float64(s.Bytes())/float64(max(1, s.Len())), "charged/entry")
-			b.ReportAllocs()
-			for b.Loop() {
-				one()
+		}
+		var flying []*Ticket
+		for range rapid.IntRange(10, 300).Draw(t, "steps") {
+			now += time.Duration(rng.IntN(4)) * time.Millisecond
+			switch n := rng.IntN(10); {
+			case n < 5:
+				d, _ := s.Ask(now, decision.CustomerID(rng.IntN(3)), fmt.Sprint("k", rng.IntN(40)), Digest{}, nil, now+time.Second)
+				if d.Verdict == Pass {
+					flying = append(flying, d.Ticket)
+				}
+			case n < 8 && len(flying) > 0:
+				i := rng.IntN(len(flying))
+				a := Answer{Status: 200, Body: make([]byte, rng.IntN(300))}
+				if rng.IntN(2) == 0 {
+					s.Answers(now, flying[i], a)
+				}
+				s.Ended(now, flying[i], End(rng.IntN(3)), a)
+				flying = slices.Delete(flying, i, i+1)
+			case n < 9:
+				flush()
+			default:
+				flush()
+				again, other := begin(now)
+				s.Tick(now)
+				for who := range 3 {
+					for k := range 40 {
+						id := name{decision.CustomerID(who), fmt.Sprint("k", k)}
+						was, is := s.entries[id], again.entries[id]
+						switch {
+						case was == nil: // let go of, or not known: it may be known still
+						case is == nil:
+							t.Fatalf("seed %d: %v was %d, and is not known", seed, id, was.state)
+						case was.state == inFlight && is.state != doubtful, was.state != inFlight && (is.state != was.state || is.kept != was.kept || len(is.answer.Body) != len(was.answer.Body)):
+							t.Fatalf("seed %d: %v was %d and is %d, kept %v and %v", seed, id, was.state, is.state, was.kept, is.kept)
+						case was.state != inFlight && (is.expireAt > was.expireAt || was.expireAt-is.expireAt > time.Millisecond):
+							t.Fatalf("seed %d: %v ends at %v, and ended at %v", seed, id, is.expireAt, was.expireAt)
+						}
+					}
+				}
+				if again.Bytes() > limits.Bytes {
+					t.Fatalf("seed %d: %d bytes", seed, again.Bytes())
+				}
+				s, log, flying = again, other, nil
 			}
-		})
-	}
+		}
+	})
 }
