Idempotency keys over gRPC: a repeat of a unary call gets the same message, status and trailers

Need: keys were recognised over HTTP and in the library alone. Change: Door.Relay looks at the key of a load that can be given again (pumicecroft.Keyable); grpcback's unary calls are, streams are not. Door.once and Relay share byKey. An answer's bounds in a record are the store's (8 MiB).

--- a/door.go
+++ b/door.go
@@ -370,18 +370,34 @@
 func (d *Door) once(ctx context.Context, r *Request, msg *httpback.Request) (*Answer, error) {
 	attempts := 0
 	msg.Body = slices.Clone(msg.Body) // the request goes on when its caller has left, who may then change it
-	digest := d.keys.Digest([]byte(r.Class), []byte(msg.Method), []byte(msg.Target), []byte(msg.ContentType), msg.Body)
+	parts := [][]byte{[]byte(r.Class), []byte(msg.Method), []byte(msg.Target), []byte(msg.ContentType), msg.Body}
+	a, err := d.byKey(ctx, r, parts, func(ctx context.Context, r *Request) (keys.Answer, error) {
+		a, err := d.send(ctx, r, msg)
+		if err != nil {
+			return keys.Answer{}, err
+		}
+		attempts = a.Attempts
+		return keys.Answer{Status: http.StatusOK, ContentType: a.ContentType, Body: a.Body}, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &Answer{Body: a.Body, ContentType: a.ContentType, Attempts: attempts}, nil
+}
+
+// byKey settles a request with a key; parts tell it apart from others of the same key. send makes it, if it is to be made, in a
+// goroutine of its own that may outlive ctx; what it has written elsewhere may be read when byKey returns, unless ctx has ended.
+func (d *Door) byKey(ctx context.Context, r *Request, parts [][]byte, send func(context.Context, *Request) (keys.Answer, error)) (keys.Answer, error) {
 	came := time.Now()
-	got, err := d.keys.Do(ctx, decision.CustomerID(r.Customer), r.Key, digest, r.Timeout-core.LastMargin, func(ctx context.Context) keyed.Result {
+	got, err := d.keys.Do(ctx, decision.CustomerID(r.Customer), r.Key, d.keys.Digest(parts...), r.Timeout-core.LastMargin, func(ctx context.Context) keyed.Result {
 		left := *r // it may have waited for the disk
 		if left.Timeout -= time.Since(came); left.Timeout <= LeastTimeout {
 			return keyed.Result{End: keys.NeverRan, Err: &RefusedError{RetryAfter: d.config.Keys.Advice}}
 		}
-		a, err := d.send(ctx, &left, msg)
+		a, err := send(ctx, &left)
 		switch {
 		case err == nil:
-			attempts = a.Attempts
-			return keyed.Result{End: keys.Answered, Answer: keys.Answer{Status: http.StatusOK, ContentType: a.ContentType, Body: a.Body}}
+			return keyed.Result{End: keys.Answered, Answer: a}
 		case errors.Is(err, ErrRefused), errors.Is(err, ErrBadRequest):
 			return keyed.Result{End: keys.NeverRan, Err: err}
 		}
@@ -389,29 +405,39 @@
 	})
 	switch {
 	case err != nil && ctx.Err() != nil && errors.Is(err, context.Cause(ctx)):
-		return nil, left(ctx)
+		return keys.Answer{}, left(ctx)
 	case errors.Is(err, keyed.ErrEnded):
-		return nil, ErrClosed
+		return keys.Answer{}, ErrClosed
 	case errors.Is(err, keyed.ErrNotKept):
-		return nil, &RefusedError{RetryAfter: got.RetryAfter}
+		return keys.Answer{}, &RefusedError{RetryAfter: got.RetryAfter}
 	case err != nil:
-		return nil, err
+		return keys.Answer{}, err
 	}
 	switch got.Verdict {
 	case keys.Replay:
-		return &Answer{Body: got.Answer.Body, ContentType: got.Answer.ContentType, Attempts: attempts}, nil
+		return got.Answer, nil
 	case keys.Done:
-		return nil, ErrAnswerGone
+		return keys.Answer{}, ErrAnswerGone
 	case keys.Conflict:
-		return nil, ErrKeyConflict
+		return keys.Answer{}, ErrKeyConflict
 	case keys.Undecided:
-		return nil, &UndecidedError{For: got.RetryAfter}
+		return keys.Answer{}, &UndecidedError{For: got.RetryAfter}
 	case keys.Busy, keys.Refused:
-		return nil, &RefusedError{RetryAfter: got.RetryAfter}
+		return keys.Answer{}, &RefusedError{RetryAfter: got.RetryAfter}
 	case keys.Late:
-		return nil, ErrLate
+		return keys.Answer{}, ErrLate
 	}
-	return nil, badRequest("key", r.Key)
+	return keys.Answer{}, badRequest("key", r.Key)
+}
+
+// Keyable is a load whose answer can be given again: that of a call that is answered as a whole.
+type Keyable interface {
+	drive.Load
+	// Parts tell it apart from other loads of the same key; nil: its answer can't be given again, and its key is not looked at.
+	Parts() [][]byte
+	// Keep makes an answer of what a backend gave that can be kept, and Again makes that of it once more.
+	Keep(reply any) (keys.Answer, error)
+	Again(keys.Answer) (reply any, err error)
 }
 
 // Relay is Do over the protocol of load, which only packages of this module make: what of r is HTTP's is not looked at. It
@@ -420,8 +446,27 @@
 	if err := d.fill(&r); err != nil {
 		return nil, err
 	}
-	reply, _, err = d.relay(ctx, &r, load)
-	return reply, err
+	k, ok := load.(Keyable)
+	if d.keys == nil || !ok || r.Key == "" || d.classes[r.Class].Effect == decision.Safe || k.Parts() == nil {
+		reply, _, err = d.relay(ctx, &r, load)
+		return reply, err
+	}
+	var own any // of a request that failed by it
+	a, err := d.byKey(ctx, &r, append(k.Parts(), []byte(r.Class)), func(ctx context.Context, r *Request) (keys.Answer, error) {
+		reply, _, err := d.relay(ctx, r, load)
+		if err != nil {
+			own = reply
+			return keys.Answer{}, err
+		}
+		return k.Keep(reply)
+	})
+	switch {
+	case err == nil:
+		return k.Again(a)
+	case ctx.Err() != nil:
+		return nil, err
+	}
+	return own, err
 }
 
 // relay passes on a request that makes sense.
--- /dev/null
+++ b/grpcfront/keys_test.go
@@ -0,0 +1,115 @@
+package grpcfront
+
+import (
+	"fmt"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+
+	"pumicecroft"
+	"pumicecroft/internal/standin"
+	"pumicecroft/keys"
+)
+
+// again is a call once more, by a client that pressed twice: the same key, an id of its own.
+func (r *rig) again(c call) call {
+	id := fmt.Sprintf("%016x", r.lastID.Add(1))
+	c.md = c.md.Copy()
+	c.md.Set("request-id", id)
+	c.id = id
+	return c
+}
+
+// Repeats over gRPC, with the first one's end, what comes then, and how many calls were sent on: a repeat gets the same message, status, header and
+// trailers; also by another door that reads its journal.
+func TestRepeatedKeys(t *testing.T) {
+	for _, c := range []struct {
+		name, method string
+		act          standin.GRPCAct
+		change       func(*call)
+		first        codes.Code
+		second       codes.Code
+		sent         int
+	}{
+		{"served", "Pay", standin.GRPCServe, nil, codes.OK, codes.OK, 1},
+		{"the service's own word", "Once", standin.GRPCNotFound, nil, codes.NotFound, codes.NotFound, 1},
+		{"another message", "Pay", standin.GRPCServe, func(c *call) { c.text = "amount=4" }, codes.OK, codes.InvalidArgument, 1},
+		{"another method", "Pay", standin.GRPCServe, func(c *call) { c.method = "/shop.Desk/Once" }, codes.OK, codes.InvalidArgument, 1},
+		{"another customer", "Pay", standin.GRPCServe, func(c *call) { c.md = metadata.Join(c.md); c.md.Set("x-api-key", "0000000000000008") }, codes.OK, codes.OK, 2},
+		{"it may have run", "Once", standin.GRPCResetLate, nil, codes.Unknown, codes.Unknown, 1},
+		{"safe", "Look", standin.GRPCServe, nil, codes.OK, codes.OK, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			r := newRig(t, func(o *options) {
+				o.cells = []int{1, 2} // only the edge drops a repeat
+				o.act = func(standin.Attempt) standin.GRPCAct { return c.act }
+				o.door = func(d *pumicecroft.Config) {
+					d.Keys, d.KeysJournal = &keys.Limits{}, &pumicecroft.KeysJournal{Dir: dir}
+				}
+			})
+			one := r.call(c.method)
+			two := r.again(one)
+			if c.change != nil {
+				c.change(&two)
+			}
+			first, second := r.do(one), r.do(two)
+			if first.st.Code() != c.first || second.st.Code() != c.second {
+				t.Errorf("%v, then %v", first.st, second.st)
+			}
+			if n := len(r.ledger.Attempts()); n != c.sent {
+				t.Errorf("%d attempts, want %d", n, c.sent)
+			}
+			if c.sent == 1 && c.first == c.second && c.change == nil && c.name != "it may have run" {
+				for _, md := range []metadata.MD{first.header, second.header} {
+					md.Delete("date")
+				}
+				if first.text != second.text || first.st.Message() != second.st.Message() || !reflect.DeepEqual(first.trailer, second.trailer) || !reflect.DeepEqual(first.header, second.header) {
+					t.Errorf("%+v, then %+v", first, second)
+				}
+			}
+		})
+	}
+}
+
+// Two at once: one goes on, and both have its answer; the quota and the node see one.
+func TestPairsOverGRPC(t *testing.T) {
+	r := newRig(t, func(o *options) {
+		o.cells, o.work = []int{1, 2}, 2*time.Millisecond
+		o.door = func(d *pumicecroft.Config) { d.Keys = &keys.Limits{} }
+	})
+	const pairs = 200
+	var pressing sync.WaitGroup
+	for range pairs {
+		pressing.Go(func() {
+			one := r.call("Pay")
+			var texts [2]string
+			var pair sync.WaitGroup
+			for j, c := range []call{one, r.again(one)} {
+				pair.Go(func() {
+					for { // a door before two nodes may refuse, which is harmless
+						res := r.do(c)
+						if res.st.Code() == codes.ResourceExhausted {
+							time.Sleep(time.Millisecond)
+							c = r.again(c)
+							continue
+						}
+						if texts[j] = res.text; res.st.Code() != codes.OK {
+							t.Error(res.st)
+						}
+						return
+					}
+				})
+			}
+			pair.Wait()
+			if texts[0] != texts[1] || r.ledger.Effects(one.key) != 1 {
+				t.Errorf("%q and %q, %d effects", texts[0], texts[1], r.ledger.Effects(one.key))
+			}
+		})
+	}
+	pressing.Wait()
+}
--- a/grpcfront/rig_test.go
+++ b/grpcfront/rig_test.go
@@ -65,6 +65,7 @@
 	more     []membership.Node // of other protocols
 	ledger   *standin.Ledger
 	server   func(*Front) *grpc.Server
+	door     func(*pumicecroft.Config)
 }
 
 func newRig(t testing.TB, change func(*options)) *rig {
@@ -90,7 +91,11 @@
 		known.Nodes = append(known.Nodes, membership.Node{Name: fmt.Sprintf("g%d", i), Addr: b.Addr(), Cell: cell, Protocol: membership.ProtocolGRPC})
 	}
 	var err error
-	r.door, err = pumicecroft.New(pumicecroft.Config{Settings: o.settings, Known: known, MaxOpen: 1 << 15}, WithBackends(o.back))
+	door := pumicecroft.Config{Settings: o.settings, Known: known, MaxOpen: 1 << 15}
+	if o.door != nil {
+		o.door(&door)
+	}
+	r.door, err = pumicecroft.New(door, WithBackends(o.back))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/grpcback/backends.go
+++ b/internal/grpcback/backends.go
@@ -6,7 +6,9 @@
 package grpcback
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"log/slog"
 	"net"
 	"slices"
@@ -20,6 +22,7 @@
 	"pumicecroft/internal/drive"
 	"pumicecroft/internal/grpcwire"
 	"pumicecroft/internal/readings"
+	"pumicecroft/keys"
 	"pumicecroft/membership"
 )
 
@@ -57,6 +60,39 @@
 // Protocol is what it goes over.
 func (r *Request) Protocol() string { return membership.ProtocolGRPC }
 
+// Parts tell a unary call apart from others of its key; nil of a streaming one. Metadata is not among them: a client's next try has others.
+func (r *Request) Parts() [][]byte {
+	if r.Sink != nil {
+		return nil
+	}
+	return [][]byte{[]byte(r.Method), r.Body}
+}
+
+// kept is an answer as it is kept for a key.
+type kept struct {
+	Code            grpcwire.Code
+	Message         string
+	Header, Trailer []Field
+	Body            []byte
+}
+
+// Keep makes what can be kept of a backend's answer.
+func (r *Request) Keep(reply any) (keys.Answer, error) {
+	a := reply.(*Answer)
+	var b bytes.Buffer
+	err := gob.NewEncoder(&b).Encode(kept{a.Code, a.Message, a.Header, a.Trailer, a.Body})
+	return keys.Answer{Status: int(a.Code), ContentType: "application/grpc", Body: b.Bytes()}, err
+}
+
+// Again makes the answer of what Keep made.
+func (r *Request) Again(a keys.Answer) (any, error) {
+	var k kept
+	if err := gob.NewDecoder(bytes.NewReader(a.Body)).Decode(&k); err != nil {
+		return nil, err
+	}
+	return &Answer{Code: k.Code, Message: k.Message, Header: k.Header, Trailer: k.Trailer, Body: k.Body, whole: true}, nil
+}
+
 // Answer is a backend's answer.
 type Answer struct {
 	Code            grpcwire.Code
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -65,7 +65,7 @@
 // Limits bound a Store. What is 0 takes the default.
 type Limits struct {
 	Bytes      int           // of all entries together, by Cost; 64 MiB
-	MostAnswer int           // bytes of an answer's body that is kept; 64 KiB
+	MostAnswer int           // bytes of an answer that is kept, its type among them; 64 KiB, 8 MiB at the most
 	Keep       time.Duration // for how long an answer is given again; 24 h
 	KeepDoubt  time.Duration // for how long a key whose request may have run is undecided; Keep
 	Advice     time.Duration // RetryAfter of Busy and Refused; 1 s
@@ -78,6 +78,7 @@
 	if l.MostAnswer <= 0 {
 		l.MostAnswer = 64 << 10
 	}
+	l.MostAnswer = min(l.MostAnswer, mostAnswer)
 	if l.Keep <= 0 {
 		l.Keep = 24 * time.Hour
 	}
@@ -375,7 +376,7 @@
 	}
 	s.charge(e, cost)
 	e.answers, e.kept, e.answer = false, false, Answer{}
-	if end == Answered && size <= s.limits.MostAnswer && s.room(e.owner, size) { // it is not evicted for its own answer: not yet
+	if end == Answered && s.fits(a) && s.room(e.owner, size) { // it is not evicted for its own answer: not yet
 		e.kept, e.answer = true, a
 		s.charge(e, size)
 	}
@@ -387,6 +388,17 @@
 	return s.given
 }
 
+// mostAnswer and mostType are what a record has room for.
+const (
+	mostAnswer = 8 << 20
+	mostType   = 1 << 15
+)
+
+// fits tells whether an answer may be kept.
+func (s *Store) fits(a Answer) bool {
+	return len(a.Body)+len(a.ContentType) <= s.limits.MostAnswer && len(a.ContentType) <= mostType
+}
+
 // admits tells whether a customer may have so many more bytes in flight: no more than are left to all others then, for whatever
 // they begin next. One flooder gets half of the memory, two a third each, and there is always room for one more. That is
 // Choudhury and Hahne's dynamic threshold for shared buffers (1998), with their factor at 1.
--- a/keys/record.go
+++ b/keys/record.go
@@ -44,10 +44,9 @@
 		return 0
 	}
 	e.answers, e.expireAt = true, s.now+s.limits.Keep
-	if e.answer = a; len(a.Body)+len(a.ContentType) > s.limits.MostAnswer {
-		e.answer = Answer{}
+	if e.kept = s.fits(a); e.kept {
+		e.answer = a
 	}
-	e.kept = len(e.answer.Body) == len(a.Body)
 	return s.logs(e)
 }
 
