--- a/internal/sim/sources.go
+++ b/internal/sim/sources.go
@@ -475,9 +475,12 @@
 		lacks := func(b *backend) bool { return some(b) && (left == 1 || b.number != second) }
 		if how > 0 && n > 4 { // little by little
 			left = 2
+			processes := a.processes()
 			a.r.after(300*time.Millisecond, func() {
-				left = 1
-				a.change()
+				if a.processes() == processes { // to one that knows two nodes, one of them is not most
+					left = 1
+					a.change()
+				}
 			})
 		}
 		a.lost = [2]func(*backend) bool{lacks, lacks}
@@ -499,6 +502,16 @@
 	}
 }
 
+// processes tells sets of doors' processes apart.
+func (a *agent) processes() (n int) {
+	for _, d := range a.r.doors {
+		if d.up {
+			n += 1 + d.epoch
+		}
+	}
+	return n
+}
+
 // restless makes more of the decision module's word than it says, within what its interface allows: attempts that end
 // earlier than their clients' time, and probes.
 type restless struct {
