--- a/conformance/conformance.go
+++ b/conformance/conformance.go
@@ -37,6 +37,8 @@
 	Start func(t testing.TB, config string) Front
 	// GRPC says that its clients and backends speak gRPC. The cases are the same; what is asked goes as DoGRPC has it.
 	GRPC bool
+	// Keys says that it recognises idempotency keys. The cases are the same but for ids that come again.
+	Keys bool
 }
 
 // Transcript holds what the cases tell, by case.
@@ -713,6 +715,21 @@
 	if !r.ledger.Await(patience, func(as []standin.Attempt) bool { return len(as) == 1 }) {
 		t.Fatal("the request never came")
 	}
+	if start.Keys { // a repeat waits for the first one's answer, and is given it from then on: ids that come again are told apart by their keys
+		second := make(chan standin.Reply, 1)
+		go func() { second <- r.do(held) }()
+		close(goOn)
+		once := r.ask("once")
+		for what, reply := range map[string]standin.Reply{"the first": <-first, "while it is open": <-second, "later": r.do(held), "once": r.do(once), "once more": r.do(once)} {
+			if reply.String() != "served" {
+				t.Errorf("%s: %v", what, reply)
+			}
+		}
+		if n := len(r.ledger.Attempts()); n != 2 {
+			t.Errorf("%d attempts", n)
+		}
+		return
+	}
 	open := r.do(held)
 	close(goOn)
 	tr.add("replays", "open: %v, the first: %v, again: %v", open, <-first, r.do(held))
