--- a/door_keys_test.go
+++ b/door_keys_test.go
@@ -16,6 +16,7 @@
 	"pumicecroft/internal/standin"
 	"pumicecroft/internal/testkit"
 	"pumicecroft/keys"
+	"pumicecroft/membership"
 )
 
 // withKeys is a door that recognises keys, before n backends of one cell each, so that only the edge can drop a repeat.
@@ -261,3 +262,75 @@
 		}
 	}
 }
+
+// A door that ends while pairs come and go: each client has one end, both of a pair the same answer if they have one, and the next door, with the
+// journal of the first, gives it again; what was refused is a new request there. Nothing has its effect twice.
+func TestPairsOverADoorsEnd(t *testing.T) {
+	dir := t.TempDir()
+	withJournal := func(c *pumicecroft.Config) {
+		c.Keys, c.KeysJournal = &keys.Limits{}, &pumicecroft.KeysJournal{Dir: dir}
+	}
+	first := hosttest.New(t, 2, nil, withJournal)
+	const pairs = 300
+	var answers [pairs][2]string
+	var pressing sync.WaitGroup
+	next, some := make(chan int), make(chan struct{}, 2*pairs)
+	pressing.Go(func() {
+		defer close(next)
+		for i := range pairs {
+			next <- i
+		}
+	})
+	for range 8 {
+		pressing.Go(func() {
+			for i := range next {
+				var pair sync.WaitGroup
+				for j := range 2 {
+					pair.Go(func() {
+						a, err := first.Door.Do(t.Context(), keyed("once", fmt.Sprint("k", i), "b"))
+						switch {
+						case err == nil:
+							answers[i][j] = string(a.Body)
+						case !errors.Is(err, pumicecroft.ErrRefused):
+							t.Errorf("k%d: %v", i, err)
+						}
+						some <- struct{}{}
+					})
+				}
+				pair.Wait()
+			}
+		})
+	}
+	for range pairs {
+		<-some
+	}
+	if err := first.Door.Close(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	pressing.Wait()
+	var nodes membership.List
+	for _, b := range first.Backends {
+		nodes.Nodes = append(nodes.Nodes, membership.Node{Name: b.Addr(), Addr: b.Addr(), Weight: 1})
+	}
+	second := hosttest.New(t, 0, nil, func(c *pumicecroft.Config) { withJournal(c); c.Known = nodes })
+	answered, refused := 0, 0
+	for i, pair := range answers {
+		a, err := second.Door.Do(t.Context(), keyed("once", fmt.Sprint("k", i), "b"))
+		if err != nil {
+			t.Fatalf("k%d at the next door: %v", i, err)
+		}
+		for _, had := range pair {
+			if had == "" {
+				refused++
+			} else if answered++; had != string(a.Body) {
+				t.Errorf("k%d: %q, and %q at the next door", i, had, a.Body)
+			}
+		}
+		if n := first.Ledger.Effects(fmt.Sprint("k", i)); n != 1 {
+			t.Errorf("k%d had its effect %d times", i, n)
+		}
+	}
+	if answered == 0 || refused == 0 {
+		t.Errorf("%d answered, %d refused: the end was not among them", answered, refused)
+	}
+}
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -479,3 +479,57 @@
 		}
 	})
 }
+
+// A clock that was put back over a restart lets keys live for Keep from then at the most, one that was put forward lets them be
+// forgotten early; what was in flight is undecided for KeepDoubt from the restart whatever the clock says. Within a process a
+// clock that jumps back expires nothing twice.
+func TestAClockThatJumps(t *testing.T) {
+	limits := Limits{Keep: time.Hour, KeepDoubt: time.Minute}
+	for _, c := range []struct {
+		name  string
+		jump  time.Duration
+		until time.Duration // of what was answered, by the later process's clock; 0: it is forgotten
+	}{{"none", 0, time.Hour}, {"back", -24 * time.Hour, time.Hour}, {"forward", 30 * time.Minute, 30 * time.Minute}, {"far forward", 24 * time.Hour, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			var log [][]byte
+			s := New(limits, 0)
+			s.epoch = 100 * time.Hour
+			for i, end := range []bool{true, false} {
+				d, _ := s.Ask(0, 1, fmt.Sprint("k", i), Digest{}, nil, time.Minute)
+				if end {
+					s.Ended(0, d.Ticket, Answered, Answer{Status: 200})
+					log = append(log, slices.Clone(s.record(recKept, d.Ticket.entry)))
+				} else {
+					log = append(log, slices.Clone(s.record(recFlight, d.Ticket.entry)))
+				}
+			}
+			later := New(limits, 0)
+			for _, rec := range log {
+				if _, err := later.Restore(0, s.epoch+c.jump, rec); err != nil {
+					t.Fatal(err)
+				}
+			}
+			verdict := func(now time.Duration, key string) Verdict {
+				d, _ := later.Ask(now, 1, key, Digest{}, nil, now+time.Minute)
+				if d.Verdict == Pass {
+					later.Ended(now, d.Ticket, NeverRan, Answer{})
+				}
+				return d.Verdict
+			}
+			if got := verdict(0, "k0"); (got == Replay) != (c.until > 0) {
+				t.Errorf("what was answered: %v", got)
+			}
+			for _, at := range []struct {
+				at   time.Duration
+				key  string
+				want Verdict
+			}{{time.Minute - tick, "k1", Undecided}, {time.Minute, "k1", Pass}, {30 * time.Second, "k1", Pass}, {c.until - tick, "k0", Replay}, {c.until, "k0", Pass}} {
+				if at.at > 0 {
+					if got := verdict(at.at, at.key); got != at.want {
+						t.Errorf("%s at %v: %v, want %v", at.key, at.at, got, at.want)
+					}
+				}
+			}
+		})
+	}
+}
