--- a/door.go
+++ b/door.go
@@ -612,7 +612,7 @@
 	d.stop()
 	d.driver.Stop()
 	if d.keys != nil {
-		if err := d.keys.Close(); err != nil {
+		if err := d.keys.Close(ctx); err != nil {
 			d.log.Error("keys are not all on disk", "err", err)
 		}
 	}
--- a/internal/journal/compare/own_test.go
+++ b/internal/journal/compare/own_test.go
@@ -1,6 +1,7 @@
 package compare
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -93,7 +94,7 @@
 	return nil
 }
 
-func (o *own) Close() error { return o.run.Close() }
+func (o *own) Close() error { return o.run.Close(context.Background()) }
 
 func init() {
 	stores = append(stores, opener{"journal", func(dir string) (store, error) { return openOwn(dir) }, func(dir string) (int, error) {
--- a/internal/keyed/bench_test.go
+++ b/internal/keyed/bench_test.go
@@ -37,7 +37,7 @@
 				})
 			}
 			asking.Wait()
-			if err := k.Close(); err != nil {
+			if err := k.Close(context.Background()); err != nil {
 				b.Fatal(err)
 			}
 			size := int64(0)
@@ -56,7 +56,7 @@
 				if _, held, _ := k.Held(); held != n {
 					b.Fatalf("%d keys of %d", held, n)
 				}
-				if err := k.Close(); err != nil {
+				if err := k.Close(context.Background()); err != nil {
 					b.Fatal(err)
 				}
 				b.StartTimer()
--- a/internal/keyed/keyed.go
+++ b/internal/keyed/keyed.go
@@ -253,7 +253,7 @@
 	if kept == nil || k.await(ctx, kept) {
 		r = run(ctx)
 	} else if r = (Result{End: keys.NeverRan, Err: ErrNotKept}); ctx.Err() != nil {
-		r.Err = context.Cause(ctx)
+		r.Err = ErrEnded // nobody waits for it any more, or the Keeper was closed
 	}
 	if k.log != nil && r.End == keys.Answered {
 		k.answers(t, r.Answer, until)
@@ -354,9 +354,10 @@
 	return k.log.Usage(), k.log.Down()
 }
 
-// Close waits for the ends of what is in flight, which its caller has seen to, and writes what is to be written. It is called once, and nothing
-// may be asked of the Keeper any more.
-func (k *Keeper) Close() error {
+// Close waits for the ends of what is in flight, which its caller has seen to, and writes what is to be written. When ctx ends first, what
+// still waits for the disk to begin ends as never run (ErrEnded), and the disk has the journal's patience for the rest; the error tells if that was
+// not enough. It is called once, and what is asked of the Keeper later is refused.
+func (k *Keeper) Close(ctx context.Context) error {
 	k.mu.Lock()
 	if k.ended = true; k.timer != nil {
 		k.timer.Stop()
@@ -365,9 +366,20 @@
 		close(k.idle)
 	}
 	k.mu.Unlock()
-	<-k.idle
+	select {
+	case <-k.idle:
+	case <-ctx.Done():
+		k.mu.Lock()
+		for _, stop := range k.stops {
+			stop()
+		}
+		k.mu.Unlock()
+		<-k.idle
+	}
 	if k.disk == nil {
 		return nil
 	}
-	return k.disk.Close()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), k.journal.Patience)
+	defer cancel()
+	return k.disk.Close(ctx)
 }
--- a/internal/keyed/keyed_test.go
+++ b/internal/keyed/keyed_test.go
@@ -118,7 +118,7 @@
 			next := d
 			begun, release := make(chan bool), make(chan bool)
 			if how == "peace" {
-				if err := k.Close(); err != nil {
+				if err := k.Close(context.Background()); err != nil {
 					t.Fatal(err)
 				}
 			} else {
@@ -129,10 +129,10 @@
 					next.d.Crash(rand.New(rand.NewPCG(1, 2)))
 				}
 				close(release)
-				defer k.Close()
+				defer k.Close(context.Background())
 			}
 			k = open(t, next, nil)
-			defer k.Close()
+			defer k.Close(context.Background())
 			for _, c := range cases {
 				if got, err := ask(k, c.key, answer("new")); got != c.want || err != nil {
 					t.Errorf("%s: %q, %v, want %q", c.key, got, err, c.want)
@@ -203,11 +203,11 @@
 						t.Fatalf("the journal never comes back: %+v, %v", u, err)
 					}
 				}
-				if err := k.Close(); err != nil {
+				if err := k.Close(context.Background()); err != nil {
 					t.Fatal(err)
 				}
 				k = open(t, d, nil)
-				defer k.Close()
+				defer k.Close(context.Background())
 				for i := range 20 {
 					want := "a"
 					if refuse {
@@ -244,14 +244,14 @@
 	}
 	k := open(t, d, nil)
 	pressAll(k, 0, 300)
-	if err := k.Close(); err != nil {
+	if err := k.Close(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := ask(k, "x", answer("")); !errors.Is(err, ErrEnded) {
 		t.Errorf("after the end: %v", err)
 	}
 	k = open(t, d, nil)
-	defer k.Close()
+	defer k.Close(context.Background())
 	pressAll(k, 100, 400)
 	for i := range effects {
 		if n := effects[i].Load(); n != 1 {
@@ -275,7 +275,7 @@
 	if _, err := Open(keys.Limits{}, j); err == nil || !strings.Contains(err.Error(), "another process") {
 		t.Errorf("opened twice: %v", err)
 	}
-	if err := k.Close(); err != nil {
+	if err := k.Close(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	if k, err = Open(keys.Limits{}, j); err != nil {
@@ -284,7 +284,7 @@
 	if k.Digest([]byte("a"), []byte("b")) != digest {
 		t.Error("the digest of one request is another after a restart")
 	}
-	if err := k.Close(); err != nil {
+	if err := k.Close(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	hurt(t, filepath.Join(dir, "secret"))
@@ -299,3 +299,42 @@
 		t.Fatal(err)
 	}
 }
+
+// A disk that hangs at the end: who waits for it is refused when the closer's time is up, and Close ends.
+func TestTheEndOnADiskThatHangs(t *testing.T) {
+	d := newDisk()
+	k := open(t, d, func(j *Journal) { j.Patience = 2 * time.Second })
+	if _, err := ask(k, "before", answer("b")); err != nil {
+		t.Fatal(err)
+	}
+	release := make(chan struct{})
+	defer close(release)
+	d.mu.Lock()
+	d.hang = release
+	d.mu.Unlock()
+	asked := make(chan error, 1)
+	ran := false
+	go func() {
+		_, err := ask(k, "k", func() Result { ran = true; return answer("a")() })
+		asked <- err
+	}()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) { // until it waits
+		k.mu.Lock()
+		n := len(k.waits)
+		k.mu.Unlock()
+		if n > 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("it never waits for the disk")
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := k.Close(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("closed: %v", err)
+	}
+	if err := <-asked; !errors.Is(err, ErrEnded) || ran {
+		t.Errorf("who waited: %v, ran %v", err, ran)
+	}
+}
--- a/internal/logfile/logfile.go
+++ b/internal/logfile/logfile.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -232,13 +233,18 @@
 	}
 }
 
-// Close has the log write and sync what it has, and lets go of the files; the lock must not be held. The error tells that something was not written.
-func (r *Runner[T]) Close() error {
+// Close has the log write and sync what it has, and lets go of the files; the lock must not be held. The error tells that something was not
+// written. When ctx ends before, as the disk hangs, it is ctx's, and the files are left to the operation that is under way.
+func (r *Runner[T]) Close(ctx context.Context) error {
 	r.mu.Lock()
 	r.log.Close()
 	r.mu.Unlock()
 	r.Kick()
-	<-r.done
+	select {
+	case <-r.done:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
 	r.mu.Lock()
 	err := r.log.Down()
 	r.mu.Unlock()
