--- a/purity_test.go
+++ b/purity_test.go
@@ -14,7 +14,7 @@
 
 // purePackages do no I/O, read no clock, take no lock and start no goroutine, so that the same code runs under
 // real sockets, under a virtual clock and in the simulator.
-var purePackages = []string{"decision", "keys", "internal/journal", "internal/simdisk", "internal/wheel", "internal/core", "membership", "internal/blocking", "internal/connpool", "internal/httpwire", "internal/registry", "internal/grpcwire", "internal/readings", "internal/sim", "internal/terms"}
+var purePackages = []string{"decision", "keys", "internal/journal", "internal/simdisk", "routes", "internal/wheel", "internal/core", "membership", "internal/blocking", "internal/connpool", "internal/httpwire", "internal/registry", "internal/grpcwire", "internal/readings", "internal/sim", "internal/terms"}
 
 var impureImports = []string{"net", "os", "sync", "log", "syscall", "context", "io", "runtime", "testing", "unsafe"}
 
@@ -25,8 +25,10 @@
 
 // pureOf are what pure packages may use of packages that also do I/O: what works on values alone.
 var pureOf = map[string][]string{
-	"net/http": {"Request", "Response", "ReadResponse", "ReadRequest", "NoBody", "MethodGet", "MethodPost", "StatusSwitchingProtocols"},
-	"io":       {"EOF", "ErrUnexpectedEOF", "ReadFull", "ReadAll", "LimitReader"},
+	"net/http":  {"Request", "Response", "ReadResponse", "ReadRequest", "NoBody", "MethodGet", "MethodPost", "StatusSwitchingProtocols"},
+	"net/url":   {"PathUnescape"},
+	"net/netip": {"ParseAddr"},
+	"io":        {"EOF", "ErrUnexpectedEOF", "ReadFull", "ReadAll", "LimitReader"},
 }
 
 // impurities names what a file does that a pure package must not.
--- /dev/null
+++ b/routes/routes_test.go
@@ -0,0 +1,357 @@
+package routes
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// naive is what Rule's comment says, told plainly: of all rules that match, the first in the stated order.
+func naive(rules []Rule[int], r *Request) (best *Rule[int], err error) {
+	host, err := cleanHost(r.Host)
+	if err != nil {
+		return nil, err
+	}
+	path, ok := strings.CutPrefix(r.Path, "/")
+	if !ok {
+		return nil, ErrPath
+	}
+	var segments []string
+	for _, s := range strings.Split(path, "/") {
+		d, err := url.PathUnescape(s)
+		if err != nil || d == "." || d == ".." {
+			return nil, ErrPath
+		}
+		segments = append(segments, d)
+	}
+	kinds := func(rule *Rule[int]) (out []int) { // of the path's segments; nil: it does not match
+		parts := strings.Split(rule.Path[1:], "/")
+		for i, p := range parts {
+			switch {
+			case strings.HasSuffix(p, "...}"):
+				if len(segments) < i+1 {
+					return nil
+				}
+				return append(out, 2)
+			case i >= len(segments):
+				return nil
+			case strings.HasPrefix(p, "{"):
+				if segments[i] == "" {
+					return nil
+				}
+				out = append(out, 1)
+			default:
+				if d, _ := url.PathUnescape(p); d != segments[i] {
+					return nil
+				}
+				out = append(out, 0)
+			}
+		}
+		if len(parts) != len(segments) {
+			return nil
+		}
+		return out
+	}
+	hostRank := func(rule *Rule[int]) int { // -1: it does not match
+		name := strings.ToLower(rule.Host)
+		switch suffix, below := strings.CutPrefix(name, "*"); {
+		case name == "":
+			return 1000
+		case below && strings.HasSuffix(host, suffix):
+			return 500 - len(suffix)
+		case !below && name == host:
+			return 0
+		}
+		return -1
+	}
+	all := func(conditions []Condition, values func(string) []string) bool {
+		for _, c := range conditions {
+			if v := values(c.Name); len(v) == 0 || c.Value != "" && !slices.Contains(v, c.Value) {
+				return false
+			}
+		}
+		return true
+	}
+	methods := func(rule *Rule[int]) int { return cmp.Or(len(rule.Methods), 1000) }
+	wrongMethod := false
+	for i := range rules {
+		rule := &rules[i]
+		if kinds(rule) == nil || hostRank(rule) < 0 || !all(rule.Headers, r.Header) || !all(rule.Query, r.Query) {
+			continue
+		}
+		if len(rule.Methods) > 0 && !slices.Contains(rule.Methods, r.Method) {
+			wrongMethod = true
+			continue
+		}
+		if best == nil || cmp.Or(hostRank(rule)-hostRank(best), slices.Compare(kinds(rule), kinds(best)), methods(rule)-methods(best),
+			len(best.Headers)+len(best.Query)-len(rule.Headers)-len(rule.Query)) < 0 {
+			best = rule
+		}
+	}
+	switch {
+	case best != nil:
+		return best, nil
+	case wrongMethod:
+		return nil, ErrMethod
+	}
+	return nil, ErrNone
+}
+
+// kindOf is which of the package's errors an error is.
+func kindOf(err error) error {
+	for _, kind := range []error{ErrNone, ErrMethod, ErrPath, ErrHost} {
+		if errors.Is(err, kind) {
+			return kind
+		}
+	}
+	return err
+}
+
+func pick[T any](rng *rand.Rand, of ...T) T { return of[rng.IntN(len(of))] }
+
+// anyRule draws from so few words that rules overlap.
+func anyRule(rng *rand.Rand, line int) Rule[int] {
+	r := Rule[int]{Name: fmt.Sprint("r", line), Line: line, To: line, Host: pick(rng, "", "", "a.org", "*.a.org", "*.b.a.org", "b.a.org")}
+	for i := range 1 + rng.IntN(3)/2 + rng.IntN(2) {
+		r.Path += "/" + pick(rng, "x", "x", "%2F", "", fmt.Sprintf("{p%d}", i))
+	}
+	if rng.IntN(4) == 0 {
+		r.Path += "/{rest...}"
+	}
+	for _, m := range []string{"GET", "PUT", "PURGE"} {
+		if rng.IntN(3) == 0 {
+			r.Methods = append(r.Methods, m)
+		}
+	}
+	for _, name := range []string{"H", "I"} {
+		if rng.IntN(5) == 0 {
+			r.Headers = append(r.Headers, Condition{name, pick(rng, "", "1", "2")})
+		}
+		if rng.IntN(6) == 0 {
+			r.Query = append(r.Query, Condition{strings.ToLower(name), pick(rng, "", "1")})
+		}
+	}
+	return r
+}
+
+func anyRequest(rng *rand.Rand) *Request {
+	header, query := http.Header{}, url.Values{}
+	for _, name := range []string{"H", "I"} {
+		for range rng.IntN(3) {
+			header.Add(name, pick(rng, "1", "2", "3"))
+			query.Add(strings.ToLower(name), pick(rng, "", "1"))
+		}
+	}
+	path := ""
+	for range 1 + rng.IntN(4) {
+		path += "/" + pick(rng, "x", "y", "z", "", "%2f", "%78", "a%2Fb", "é")
+	}
+	if rng.IntN(20) == 0 {
+		path = pick(rng, "", "x", "/%zz", "/x/%2e%2E", "/./x", "*")
+	}
+	return &Request{Method: pick(rng, "GET", "PUT", "POST", "PURGE"), Host: pick(rng, "", "a.org", "A.ORG:80", "b.a.org.", "c.b.a.org", "ba.org", "[::1]:80", "a..org", "a.org:x"), Path: path,
+		Header: header.Values, Query: func(name string) []string { return query[name] }}
+}
+
+// The tree takes what the plain rule takes, for any table that is not refused; and a table is refused only for two rules that some request
+// would be both's, or one that none would be.
+func TestAgainstTheRule(t *testing.T) {
+	refused, matched := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var rules []Rule[int]
+		for i := range 1 + rng.IntN(40) {
+			rules = append(rules, anyRule(rng, i+1))
+		}
+		table, err := New(rules)
+		var problems Problems
+		if errors.As(err, &problems) {
+			refused++
+			for _, p := range problems { // without the ones that are blamed, it is good
+				rules = slices.DeleteFunc(rules, func(r Rule[int]) bool { return r.Line == p.Line })
+			}
+			if table, err = New(rules); err != nil {
+				t.Fatalf("after those that were named are gone: %v", err)
+			}
+		}
+		for range 40 {
+			r := anyRequest(rng)
+			want, wantErr := naive(rules, r)
+			got, err := table.Match(r)
+			if (err == nil) != (wantErr == nil) || kindOf(err) != kindOf(wantErr) || err == nil && got.Rule.Line != want.Line {
+				t.Fatalf("%s %q %q: %+v, %v, and by the rule %+v, %v, of\n%+v", r.Method, r.Host, r.Path, got.Rule, err, want, wantErr, rules)
+			}
+			if err == nil {
+				matched++
+				for _, p := range got.Params {
+					if p.Name != "rest" && p.Value == "" {
+						t.Fatalf("%q of %q is empty", p.Name, r.Path)
+					}
+				}
+			}
+		}
+	})
+	if refused == 0 || matched == 0 {
+		t.Errorf("%d tables refused, %d requests matched", refused, matched)
+	}
+}
+
+// What is refused, and what it says: both lines are named.
+func TestTablesThatMakeNoSense(t *testing.T) {
+	for _, c := range []struct {
+		want  string
+		rules []Rule[int]
+	}{
+		{`line 2: route "b" is ambiguous with "a": a request can be both's, and neither is more specific (line 1)`, []Rule[int]{{Name: "a", Line: 1, Path: "/x/{id}"}, {Name: "b", Line: 2, Path: "/x/{name}"}}},
+		{`line 2: route "b" is ambiguous with "a": a request can be both's, and neither is more specific (line 1)`, []Rule[int]{
+			{Name: "a", Line: 1, Path: "/x", Headers: []Condition{{"H", "1"}}}, {Name: "b", Line: 2, Path: "/x", Query: []Condition{{"q", ""}}}}},
+		{`line 3: route "c" is never taken: more specific ones take all that it would (line 2)`, []Rule[int]{{Name: "a", Line: 1, Path: "/x", Methods: []string{"GET"}},
+			{Name: "b", Line: 2, Path: "/x", Methods: []string{"PUT"}}, {Name: "c", Line: 3, Path: "/x", Methods: []string{"GET", "PUT"}}}},
+		{`line 1: path "x": a path that makes no sense: "x" does not begin with a slash`, []Rule[int]{{Line: 1, Path: "x"}}},
+		{`line 1: path "/a/../b": a path that makes no sense: a segment ".."`, []Rule[int]{{Line: 1, Path: "/a/../b"}}},
+		{`line 1: path "/{a...}/b": "{a...}" may only be the last segment`, []Rule[int]{{Line: 1, Path: "/{a...}/b"}}},
+		{`line 1: path "/{a}/{a}": segment "{a}" has no name of its own in braces`, []Rule[int]{{Line: 1, Path: "/{a}/{a}"}}},
+		{`line 1: path "/x{a}": segment "x{a}" is neither literal nor {name}`, []Rule[int]{{Line: 1, Path: "/x{a}"}}},
+		{`line 1: host "a.org:80" is no name, nor *. and a name`, []Rule[int]{{Line: 1, Host: "a.org:80", Path: "/"}}},
+		{`line 1: host "*" is no name, nor *. and a name`, []Rule[int]{{Line: 1, Host: "*", Path: "/"}}},
+		{`line 1: method "GET PUT" is none`, []Rule[int]{{Line: 1, Path: "/", Methods: []string{"GET PUT"}}}},
+		{`line 1: method "GET" is there twice`, []Rule[int]{{Line: 1, Path: "/", Methods: []string{"GET", "GET"}}}},
+	} {
+		if _, err := New(c.rules); err == nil || err.Error() != c.want {
+			t.Errorf("%v\nwant %s", err, c.want)
+		}
+	}
+	good := []Rule[int]{{Line: 1, Path: "/x"}, {Line: 2, Path: "/x/"}, {Line: 3, Path: "/x", Methods: []string{"GET"}}, {Line: 4, Path: "/x", Methods: []string{"PUT"}},
+		{Line: 5, Path: "/x", Headers: []Condition{{"H", ""}}}, {Line: 6, Host: "a.org", Path: "/x"}, {Line: 7, Path: "/{all...}"}, {Line: 8, Path: "/{one}"}}
+	if _, err := New(good); err != nil {
+		t.Error(err)
+	}
+}
+
+// Odd paths and hosts, one by one.
+func TestOddRequests(t *testing.T) {
+	table, err := New([]Rule[int]{{To: 1, Path: "/items/{id}"}, {To: 2, Path: "/items/{id}/{rest...}"}, {To: 3, Path: "/a%2Fb"}, {To: 4, Path: "/"}, {To: 5, Path: "/items/new", Methods: []string{"POST", "PUT"}},
+		{To: 6, Host: "*.shop.example.org", Path: "/items/{id}"}, {To: 7, Host: "Shop.Example.org", Path: "/items/{id}"}, {To: 8, Path: "/only", Methods: []string{"GET", "HEAD"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	long := strings.Repeat("/x", 32<<10)
+	for _, c := range []struct {
+		host, path string
+		to         int
+		params     []Param
+		err        error
+	}{
+		{"", "/", 4, nil, nil},
+		{"", "/items/7", 1, []Param{{"id", "7"}}, nil},
+		{"", "/items/a%2Fb", 1, []Param{{"id", "a/b"}}, nil},
+		{"", "/items/7/a%2Fb//c", 2, []Param{{"id", "7"}, {"rest", "a%2Fb//c"}}, nil},
+		{"", "/items/7/", 2, []Param{{"id", "7"}, {"rest", ""}}, nil},
+		{"", "/items//", 0, nil, ErrNone},
+		{"", "//items/7", 0, nil, ErrNone},
+		{"", "/a%2fb", 3, nil, nil},
+		{"", "/a/b", 0, nil, ErrNone},
+		{"", "/items/new", 1, []Param{{"id", "new"}}, nil}, // its own route does not take GET
+		{"", "/%69tems/7", 1, []Param{{"id", "7"}}, nil},
+		{"", "/items/..", 0, nil, ErrPath},
+		{"", "/items/%2e%2e/x", 0, nil, ErrPath},
+		{"", "/items/.", 0, nil, ErrPath},
+		{"", "/items/...", 1, []Param{{"id", "..."}}, nil},
+		{"", "/items/%", 0, nil, ErrPath},
+		{"", "", 0, nil, ErrPath},
+		{"", "*", 0, nil, ErrPath},
+		{"", long, 0, nil, ErrNone},
+		{"shop.example.org:8080", "/items/7", 7, []Param{{"id", "7"}}, nil},
+		{"SHOP.example.ORG.", "/items/7", 7, []Param{{"id", "7"}}, nil},
+		{"eu.shop.example.org", "/items/7", 6, []Param{{"id", "7"}}, nil},
+		{"a.b.shop.example.org", "/items/7", 6, []Param{{"id", "7"}}, nil},
+		{"xshop.example.org", "/items/7", 1, []Param{{"id", "7"}}, nil},
+		{"shop.example.org", "/", 4, nil, nil},
+		{"shop.example.org:99999999", "/", 0, nil, ErrHost},
+		{"shop example.org", "/", 0, nil, ErrHost},
+		{"[::1]:80", "/", 4, nil, nil},
+		{"[::1", "/", 0, nil, ErrHost},
+		{".", "/", 0, nil, ErrHost},
+	} {
+		m, err := table.Match(&Request{Method: "GET", Host: c.host, Path: c.path})
+		if !errors.Is(err, c.err) || err == nil && (m.Rule.To != c.to || !reflect.DeepEqual(m.Params, c.params)) {
+			t.Errorf("%q %.40q: %+v, %v", c.host, c.path, m, err)
+		}
+	}
+	var method *MethodError
+	if _, err := table.Match(&Request{Method: "PUT", Path: "/only"}); !errors.As(err, &method) || !slices.Equal(method.Allowed, []string{"GET", "HEAD"}) {
+		t.Errorf("%v", err)
+	}
+}
+
+// Whatever path and host come, the tree and the plain rule agree, and nothing falls over.
+func FuzzMatch(f *testing.F) {
+	rules := []Rule[int]{{Line: 1, Path: "/x/{a}"}, {Line: 2, Path: "/x/y"}, {Line: 3, Path: "/{all...}"}, {Line: 4, Host: "*.a.org", Path: "/x/{a}/{b...}"}, {Line: 5, Host: "a.org", Path: "/%2F"}}
+	table, err := New(rules)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add("a.org", "/x/y")
+	f.Add("b.a.org:80", "/x/%2F/..;/z")
+	f.Fuzz(func(t *testing.T, host, path string) {
+		r := &Request{Method: "GET", Host: host, Path: path}
+		want, wantErr := naive(rules, r)
+		got, err := table.Match(r)
+		if (err == nil) != (wantErr == nil) || kindOf(err) != kindOf(wantErr) || err == nil && got.Rule.Line != want.Line {
+			t.Fatalf("%q %q: %+v, %v, and by the rule %+v, %v", host, path, got.Rule, err, want, wantErr)
+		}
+	})
+}
+
+// BenchmarkMatch is a match in tables of n routes, against looking at all of them, and against net/http's ServeMux, which knows no
+// conditions.
+func BenchmarkMatch(b *testing.B) {
+	for _, n := range []int{1, 100, 10_000} {
+		var rules []Rule[int]
+		mux := http.NewServeMux()
+		for i := range n {
+			path := fmt.Sprintf("/v%d/things%d/{id}/parts/{part}", i%10, i)
+			rules = append(rules, Rule[int]{Line: i + 1, Path: path, Methods: []string{"GET"}})
+			mux.HandleFunc("GET "+path, func(http.ResponseWriter, *http.Request) {})
+		}
+		table, err := New(rules)
+		if err != nil {
+			b.Fatal(err)
+		}
+		path := fmt.Sprintf("/v%d/things%d/77/parts/8", (n-1)%10, n-1)
+		r := &Request{Method: "GET", Host: "a.org", Path: path}
+		b.Run(fmt.Sprintf("tree/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := table.Match(r); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("all/%d", n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := naive(rules, r); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("ServeMux/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			req := &http.Request{Method: "GET", Host: "a.org", URL: &url.URL{Path: path}}
+			for b.Loop() {
+				if _, pattern := mux.Handler(req); pattern == "" {
+					b.Fatal("none")
+				}
+			}
+		})
+	}
+}
