Keys: a log's reader is not waited for under the lock; bodies in pieces, and one of 60 MB

Cause: read again: Keeper.written logged with its lock held, where nothing may wait for I/O. Change: it says so beside.

--- a/door_keys_test.go
+++ b/door_keys_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"pumicecroft"
@@ -334,3 +336,41 @@
 		t.Errorf("%d answered, %d refused: the end was not among them", answered, refused)
 	}
 }
+
+// A body that comes in other pieces is the same body; one of 60 MB is turned away, with its key as without, and its key stays free.
+func TestBodiesInPieces(t *testing.T) {
+	r := withKeys(t, 1, nil, keys.Limits{})
+	addr := hosttest.Serve(t, r.Door, nil)
+	first := r.Ask("pay")
+	press := func(body io.Reader, size int64) int {
+		a := first
+		a.ID = r.Ask("pay").ID
+		req, err := a.Request(t.Context(), addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Body, req.ContentLength, req.GetBody = io.NopCloser(body), size, nil
+		res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+		if err != nil {
+			return 0 // it was turned away while it was still being sent
+		}
+		defer res.Body.Close()
+		return res.StatusCode
+	}
+	if got := press(io.LimitReader(neverEnding{}, 60<<20), 60<<20); got != 413 && got != 0 {
+		t.Errorf("60 MB: %d", got)
+	}
+	text := strings.Repeat("amount=3;", 1000)
+	for i, body := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text)), iotest.HalfReader(strings.NewReader(text))} {
+		if got := press(body, int64(len(text))); got != 200 {
+			t.Errorf("in pieces, %d: %d", i, got)
+		}
+	}
+	if n := len(r.Ledger.Attempts()); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
+type neverEnding struct{}
+
+func (neverEnding) Read(p []byte) (int, error) { return len(p), nil }
--- a/internal/keyed/keyed.go
+++ b/internal/keyed/keyed.go
@@ -237,13 +237,20 @@
 	k.store.Relog(k.now())
 	if err := k.log.Down(); (err != nil) != k.down {
 		k.down = err != nil
-		switch log := k.journal.Log; {
-		case log == nil:
-		case k.down:
-			log.Error("keys can't be kept on disk", "err", err, "requests with keys", map[bool]string{true: "are refused", false: "go on"}[k.journal.Refuse])
-		default:
-			log.Info("keys are kept on disk again")
-		}
+		go k.tell(err) // a log may wait for its reader, and this has the lock
+	}
+}
+
+// tell says that the disk fails, or that it is well again.
+func (k *Keeper) tell(err error) {
+	switch log := k.journal.Log; {
+	case log == nil:
+	case err == nil:
+		log.Info("keys are kept on disk again")
+	case k.journal.Refuse:
+		log.Error("keys can't be kept on disk, requests with keys are refused", "err", err)
+	default:
+		log.Error("keys can't be kept on disk, requests with keys go on with them in memory", "err", err)
 	}
 }
 
