A test's presser with nothing to press ends with its process

Cause: when a kill came before the first key was answered, TestKeysOutliveKills waited for a presser that waited for a key: a run hung. Change: it is stopped first; the last process is given time for some keys.

--- a/cmd/pumicecroft/kills_test.go
+++ b/cmd/pumicecroft/kills_test.go
@@ -133,6 +133,14 @@
 		})
 		time.Sleep(time.Duration(rng.Int64N(int64(120 * time.Millisecond))))
 		if kill == *killsFlag { // the last one ends in peace, and all keys are pressed once more
+			for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				mu.Lock()
+				n := len(keys)
+				mu.Unlock()
+				if n >= *killsFlag {
+					break
+				}
+			}
 			stop()
 			pressing.Wait()
 			for _, key := range keys {
@@ -153,8 +161,8 @@
 			t.Fatal(err)
 		}
 		cmd.Wait()
+		stop() // who has no key to press yet would wait for one
 		pressing.Wait()
-		stop()
 	}
 	if doubled := ledger.Doubled(); len(doubled) > 0 {
 		t.Errorf("%d keys had their effect more than once: %v", len(doubled), doubled)
