Read again: one wait for records, bounded by the client's time; recovery reads segments once

Change: Keeper.await serves both waits and ends with the client's time. Recover read the last segment twice to see whether it is empty; it looks at the end. moveFrom serves fail and Recover; gob takes grpcback's Answer itself; two comments of Config said what was so before.

--- a/config.go
+++ b/config.go
@@ -40,15 +40,15 @@
 	MaxOpen        int           // requests open at once; one more is refused; 4,096
 	BodyTimeout    time.Duration // for a request's body to come whole, over HTTP; 1 s
 
-	// Keys has the Door recognise idempotency keys, of requests by Do and over HTTP whose class is not safe to repeat: a repeat
+	// Keys has the Door recognise idempotency keys, of requests by Do, over HTTP and of unary calls over gRPC whose class is not safe to repeat: a repeat
 	// waits for the first one's answer or is given it again. nil: it does not.
 	Keys *keys.Limits
 	// KeysJournal keeps them on disk, so that they outlive the process. nil: they are held in memory alone.
 	KeysJournal *KeysJournal
 }
 
-// KeysJournal says how idempotency keys are kept on disk. A request with a key goes on once it is on disk that it may have run; what came of
-// it is written behind its answer.
+// KeysJournal says how idempotency keys are kept on disk. A request with a key goes on once it is on disk that it may have run, and its
+// answer is given when that is written.
 type KeysJournal struct {
 	// Dir is a directory of this Door's alone, which is made if it is not there.
 	Dir string
--- a/door_keys_test.go
+++ b/door_keys_test.go
@@ -374,3 +374,20 @@
 type neverEnding struct{}
 
 func (neverEnding) Read(p []byte) (int, error) { return len(p), nil }
+
+// A client that waits for less than the disk may take has its answer in its own time: refused, as nothing was sent.
+func TestAHurriedClientOnASlowDisk(t *testing.T) {
+	r := hosttest.New(t, 1, nil, func(c *pumicecroft.Config) {
+		c.Keys, c.KeysJournal = &keys.Limits{}, &pumicecroft.KeysJournal{Dir: t.TempDir(), Gather: 5 * time.Second, Patience: 4 * time.Second}
+	})
+	req := keyed("once", "k", "b")
+	req.Timeout = 200 * time.Millisecond
+	start := time.Now()
+	_, err := r.Door.Do(t.Context(), req)
+	if took := time.Since(start); !errors.Is(err, pumicecroft.ErrRefused) || took > 2*time.Second {
+		t.Errorf("%v after %v", err, took)
+	}
+	if n := len(r.Ledger.Attempts()); n != 0 {
+		t.Errorf("%d attempts", n)
+	}
+}
--- a/internal/grpcback/backends.go
+++ b/internal/grpcback/backends.go
@@ -68,29 +68,21 @@
 	return [][]byte{[]byte(r.Method), r.Body}
 }
 
-// kept is an answer as it is kept for a key.
-type kept struct {
-	Code            grpcwire.Code
-	Message         string
-	Header, Trailer []Field
-	Body            []byte
-}
-
 // Keep makes what can be kept of a backend's answer.
 func (r *Request) Keep(reply any) (keys.Answer, error) {
 	a := reply.(*Answer)
 	var b bytes.Buffer
-	err := gob.NewEncoder(&b).Encode(kept{a.Code, a.Message, a.Header, a.Trailer, a.Body})
+	err := gob.NewEncoder(&b).Encode(a) // what it exports
 	return keys.Answer{Status: int(a.Code), ContentType: "application/grpc", Body: b.Bytes()}, err
 }
 
 // Again makes the answer of what Keep made.
 func (r *Request) Again(a keys.Answer) (any, error) {
-	var k kept
-	if err := gob.NewDecoder(bytes.NewReader(a.Body)).Decode(&k); err != nil {
+	again := &Answer{whole: true}
+	if err := gob.NewDecoder(bytes.NewReader(a.Body)).Decode(again); err != nil {
 		return nil, err
 	}
-	return &Answer{Code: k.Code, Message: k.Message, Header: k.Header, Trailer: k.Trailer, Body: k.Body, whole: true}, nil
+	return again, nil
 }
 
 // Answer is a backend's answer.
--- a/internal/journal/compare/compare_test.go
+++ b/internal/journal/compare/compare_test.go
@@ -6,6 +6,7 @@
 package compare
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -107,9 +108,9 @@
 			return 0, err
 		}
 		for it.First(); it.Valid(); it.Next() {
-			n += len(it.Value()) / len(it.Value())
+			n++
 		}
-		return n, max2(it.Close(), db.Close())
+		return n, cmp.Or(it.Close(), db.Close())
 	}},
 	{"bbolt", func(dir string) (store, error) {
 		db, err := openBolt(dir)
@@ -120,19 +121,12 @@
 			return 0, err
 		}
 		err = db.View(func(tx *bbolt.Tx) error {
-			return tx.Bucket(bucket).ForEach(func(_, v []byte) error { n += len(v) / len(v); return nil })
+			return tx.Bucket(bucket).ForEach(func(_, _ []byte) error { n++; return nil })
 		})
-		return n, max2(err, db.Close())
+		return n, cmp.Or(err, db.Close())
 	}},
 }
 
-func max2(a, b error) error {
-	if a != nil {
-		return a
-	}
-	return b
-}
-
 const (
 	callers  = 64
 	kept     = 20_000 // keys, before they are forgotten
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -248,6 +248,15 @@
 	}
 }
 
+// moveFrom moves those from a number on to a segment that keeps no order, without their numbers.
+func (g *segment[T]) moveFrom(to *segment[T], seq uint64) {
+	for s := g.last; s != nil && s.seq >= seq; s = g.last {
+		size := s.size
+		g.remove(s)
+		to.add(s, size, 0)
+	}
+}
+
 // Stale is a slot that its owner must append once more, nil: there is none now. It is one that is not on disk, or one of the oldest
 // segment, which is to be removed. It asks for no more at once than the disk takes: its owner asks again after each Done.
 func (l *Log[T]) Stale() *Slot[T] {
@@ -439,11 +448,7 @@
 	if n := len(l.segments); n > 0 && !l.segments[n-1].doubted {
 		g := l.segments[n-1]
 		g.doubted = true
-		for s := g.last; s != nil && s.seq > l.synced; s = g.last {
-			size := s.size
-			g.remove(s)
-			l.off.add(s, size, 0)
-		}
+		g.moveFrom(&l.off, l.synced+1)
 	}
 	if beginning && l.todo[0].Segment != l.last {
 		l.last-- // it was not tried
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -39,27 +39,6 @@
 	if err != nil {
 		return nil, err
 	}
-	must := int64(headLen) // of the last segment
-	for len(chain) > 0 {
-		h := chain[len(chain)-1]
-		b, err := load(h.number, maxSegment)
-		if err != nil {
-			return nil, fmt.Errorf("segment %d: %w", h.number, err)
-		}
-		end, _, err := segmentFrames(b, h, headLen, func(int64, []byte) error { return nil })
-		if err != nil {
-			return nil, err
-		}
-		if end > headLen {
-			break
-		}
-		chain, must = chain[:len(chain)-1], max(headLen, h.good) // its head may never have been synced, and nothing is in it
-	}
-	for _, n := range numbers {
-		if !slices.ContainsFunc(chain, func(h head) bool { return h.number == n }) {
-			l.void = append(l.void, n)
-		}
-	}
 	for _, h := range chain {
 		if l.id = h.log; h.log != chain[0].log {
 			return nil, fmt.Errorf("segment %d: %w: it is one of log %x, and those before it are of %x", h.number, ErrForeign, h.log, chain[0].log)
@@ -70,9 +49,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("segment %d: %w", h.number, err)
 		}
-		must := must
+		must := int64(headLen)
 		if i+1 < len(chain) {
-			must = chain[i+1].good
+			must = max(must, chain[i+1].good)
 		}
 		g := &segment[T]{number: h.number}
 		g.size, g.synced, err = segmentFrames(b, h, must, func(at int64, payload []byte) error {
@@ -90,14 +69,19 @@
 		g.doubted = true
 		l.segments = append(l.segments, g)
 	}
+	// The last one's head may never have been synced, if nothing is in it.
+	for n := len(l.segments); n > 0 && l.segments[n-1].size == headLen; n-- {
+		l.segments = l.segments[:n-1]
+	}
+	for _, n := range numbers {
+		if !slices.ContainsFunc(l.segments, func(g *segment[T]) bool { return g.number == n }) {
+			l.void = append(l.void, n)
+		}
+	}
 	// What a segment holds behind what is known to have been synced may be there in memory alone, and a sync that succeeds now
 	// says nothing if one before it failed: it is written again.
 	for _, g := range l.segments {
-		for s := g.last; s != nil && s.seq >= uint64(g.synced); s = g.last {
-			size := s.size
-			g.remove(s)
-			l.off.add(s, size, 0)
-		}
+		g.moveFrom(&l.off, uint64(g.synced))
 	}
 	return l, nil
 }
--- a/internal/keyed/keyed.go
+++ b/internal/keyed/keyed.go
@@ -184,7 +184,11 @@
 	if d.Verdict == keys.Pass {
 		going, stop := context.WithCancel(context.WithoutCancel(ctx))
 		k.stops[d.Ticket.Entry()] = stop
-		go k.run(going, d.Ticket, now+timeout, k.kept(d.Ticket), run)
+		var kept chan bool // nil: nothing is kept
+		if k.log != nil {
+			kept = k.record(&k.waits, d.Ticket.Seq())
+		}
+		go k.run(going, d.Ticket, now+timeout, kept, run)
 	}
 	k.give(given, nil)
 	k.mu.Unlock()
@@ -206,17 +210,15 @@
 	return keys.Decision{}, context.Cause(ctx)
 }
 
-// kept gives what tells whether the record that a request passed is on disk; nil: nothing is kept. It wants the lock.
-func (k *Keeper) kept(t *keys.Ticket) chan bool {
-	if k.log == nil {
-		return nil
-	}
+// record gives what tells, once, whether a record is there, in one of the lists of those that wait; one that the log did not take is not. It
+// wants the lock.
+func (k *Keeper) record(waits *[]durable, seq uint64) chan bool {
 	told := make(chan bool, 1)
-	if t.Seq() == 0 {
+	if seq == 0 {
 		told <- false
 		return told
 	}
-	k.waits = append(k.waits, durable{t.Seq(), told})
+	*waits = append(*waits, durable{seq, told})
 	k.disk.Kick()
 	return told
 }
@@ -257,13 +259,13 @@
 // run makes a request that passed, and gives its end to all that wait for it.
 func (k *Keeper) run(ctx context.Context, t *keys.Ticket, until time.Duration, kept chan bool, run func(context.Context) Result) {
 	var r Result
-	if kept == nil || k.await(ctx, kept) {
+	if kept == nil || k.await(ctx, kept, until) || ctx.Err() == nil && !k.journal.Refuse {
 		r = run(ctx)
 	} else if r = (Result{End: keys.NeverRan, Err: ErrNotKept}); ctx.Err() != nil {
 		r.Err = ErrEnded // nobody waits for it any more, or the Keeper was closed
 	}
 	if k.log != nil && r.End == keys.Answered {
-		k.answers(t, r.Answer, until)
+		k.answers(ctx, t, r.Answer, until)
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -278,40 +280,26 @@
 	}
 }
 
-// answers has an answer written before anybody is given it, so that a process that is killed right behind it is asked in vain for another. It
-// waits no longer than the disk is waited for, nor than the one that passed waits; those that joined are told by themselves when they are late.
-func (k *Keeper) answers(t *keys.Ticket, a keys.Answer, until time.Duration) {
-	written := make(chan bool, 1)
+// answers has an answer written before anybody is given it, so that a process that is killed right behind it is asked in vain for another.
+// Those that joined are told by themselves when they are late.
+func (k *Keeper) answers(ctx context.Context, t *keys.Ticket, a keys.Answer, until time.Duration) {
 	k.mu.Lock()
-	seq := k.store.Answers(k.now(), t, a)
-	if seq > 0 {
-		k.ends = append(k.ends, durable{seq, written})
-	}
+	written := k.record(&k.ends, k.store.Answers(k.now(), t, a))
 	k.mu.Unlock()
-	if seq == 0 {
-		return
-	}
-	k.disk.Kick()
-	patience := time.NewTimer(min(k.journal.Patience, until-k.now()))
-	defer patience.Stop()
-	select {
-	case <-written:
-	case <-patience.C:
-	}
+	k.await(ctx, written, until)
 }
 
-// await waits until a request may go on, or tells that it must not.
-func (k *Keeper) await(ctx context.Context, kept chan bool) bool {
-	patience := time.NewTimer(k.journal.Patience)
+// await waits until a record is there, and tells whether it is: for no longer than the disk is waited for, nor than the client waits.
+func (k *Keeper) await(ctx context.Context, told chan bool, until time.Duration) bool {
+	patience := time.NewTimer(min(k.journal.Patience, until-k.now()))
 	defer patience.Stop()
 	select {
-	case ok := <-kept:
-		return ok || !k.journal.Refuse
+	case there := <-told:
+		return there
 	case <-patience.C:
-		return !k.journal.Refuse
 	case <-ctx.Done():
-		return false
 	}
+	return false
 }
 
 // give tells those that have their end, and waits for the next; it wants the lock. err goes with what is not an answer and not
