Consul: that most left is told by what was heard, not by the wall clock

Cause: TestMostAreDeregistered bounded real time by 2 s; on a machine with other tests beside it took 3.06 s and failed. Change: it looks that the agent was asked again before the nodes were let go. The time itself is membership's, where TestLosingMost has it to the millisecond on a clock of its own.

--- a/consul/source_test.go
+++ b/consul/source_test.go
@@ -103,7 +103,7 @@
 	r.whole(l)
 }
 
-// Most nodes deregistered at once are believed to be gone when the list was heard again, within 2 s.
+// Most nodes deregistered at once are believed to be gone when the list was heard again.
 func TestMostAreDeregistered(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, nil)
@@ -112,13 +112,13 @@
 	}
 	d := r.door(6, func(c *pumicecroft.Config) { c.Membership.LossFor = 0 }) // the default
 	l := r.load(4, "look", time.Millisecond, d)
-	start := time.Now()
+	asked := len(r.agent.Questions())
 	for _, id := range []string{"b0", "b1", "b2", "b3", "b4"} {
 		r.agent.Remove("n1", id)
 	}
 	r.await(d, "five to go", func(ms map[string]pumicecroft.Member) bool { return len(ms) == 1 })
-	if took := time.Since(start); took > 2*time.Second {
-		t.Errorf("it took %v", took)
+	if n := len(r.agent.Questions()) - asked; n < 2 { // when, is membership's business: TestLosingMost has it to the millisecond
+		t.Errorf("they were let go after %d questions", n)
 	}
 	r.whole(l)
 }
