--- a/bench_test.go
+++ b/bench_test.go
@@ -71,7 +71,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	b.Cleanup(stop)
-	go httpfront.NewServer(door, 400, time.Minute, slog.New(slog.DiscardHandler)).Run(ctx, ln)
+	go httpfront.NewServer(door, 400, time.Minute, slog.New(slog.DiscardHandler), httpfront.Options{}).Run(ctx, ln)
 
 	next := uint64(0)
 	overHTTP := func(name, addr string) way {
--- a/cmd/pumicecroft/operator.go
+++ b/cmd/pumicecroft/operator.go
@@ -36,6 +36,15 @@
 	if err != nil {
 		return err
 	}
+	var warnings []string
+	if f.Web != nil {
+		if warnings, err = daemon.CheckWeb(f); err != nil {
+			return fmt.Errorf("%s:\n%w", args[0], err)
+		}
+	}
+	for _, w := range warnings {
+		fmt.Fprintf(out, "%s: warning: %s\n", args[0], w)
+	}
 	fmt.Fprintf(out, "%s is good: door %d of %d, %d classes, %d plans, %d backends, sources %s, to listen on %s\n", args[0],
 		f.Door.Settings.Me, f.Door.Settings.FrontDoors, len(f.Door.Settings.Classes), len(f.Door.Settings.Plans),
 		len(f.Backends.Nodes), strings.Join(f.Sources, ", "), f.Listen)
@@ -87,5 +96,5 @@
 	if err != nil {
 		return err
 	}
-	return daemon.ServeFile(ctx, f)
+	return daemon.ServeFile(ctx, f, func() (operator.File, error) { return readFile(args) }, daemon.Hangups(ctx))
 }
--- a/conformance/fronts_test.go
+++ b/conformance/fronts_test.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	return daemon.ServeFile(ctx, f)
+	return daemon.ServeFile(ctx, f, nil, nil)
 }
 
 func parseFile(text string) (operator.File, error) { return operator.Parse([]byte(text)) }
--- a/decision/api.go
+++ b/decision/api.go
@@ -262,6 +262,24 @@
 type Refuse struct {
 	Request    RequestID
 	RetryAfter time.Duration // 0: no advice
+	Why        Reason
+}
+
+// Reason is why a request was refused, for people and for the form of the refusal.
+type Reason uint8
+
+// The reasons.
+const (
+	Unfit     Reason = iota // it makes no sense: no such class or plan, no units, no time
+	OverQuota               // its customer has used up the plan's quota or ceiling, as far as this door knows
+	NoBackend               // no backend may be sent to now
+	NoRoom                  // the backends have as much as they can answer in time
+	Untaken                 // it was sent, and provably ran nowhere or may run again
+)
+
+// String names a reason.
+func (r Reason) String() string {
+	return [...]string{"unfit", "over quota", "no backend", "no room", "not taken"}[min(r, Untaken)]
 }
 
 // Fail is a final answer that promises nothing.
--- a/decision/gateway.go
+++ b/decision/gateway.go
@@ -243,7 +243,7 @@
 	}
 	c := g.customer(ev, plan)
 	if !g.withinQuota(c, ev.Units) || !g.underCeiling(c, ev.Units) {
-		g.act(Refuse{ev.ID, g.untilQuota(c, ev.Units)})
+		g.act(Refuse{ev.ID, g.untilQuota(c, ev.Units), OverQuota})
 		return
 	}
 	worth := cl.Worth * plan.Price * ev.Units
@@ -254,11 +254,12 @@
 	r := &request{id: ev.ID, seq: g.seq + 1, class: cl, cust: c, due: g.now + ev.Patience, protocol: ev.Protocol, fleet: g.fleets[ev.Protocol]}
 	b := g.choose(r)
 	var s *slot
+	why := NoBackend
 	if b != nil {
-		s = g.takeSlot(high)
+		s, why = g.takeSlot(high), NoRoom
 	}
 	if s == nil {
-		g.act(Refuse{ev.ID, g.untilSlot()})
+		g.act(Refuse{ev.ID, g.untilSlot(), why})
 		return
 	}
 	g.seq++
@@ -840,7 +841,7 @@
 	if t == nil || r.class.Effect == Safe ||
 		r.class.Effect == Keyed && r.class.Group == GroupAll &&
 			g.now-t.sent+g.set.MaxRetryAfter+r.class.Deadline+g.set.AnswerGrace < r.class.KeyWindow {
-		g.act(Refuse{r.id, g.untilSlot()})
+		g.act(Refuse{r.id, g.untilSlot(), Untaken})
 	} else {
 		g.act(Fail{Request: r.id})
 	}
--- a/door.go
+++ b/door.go
@@ -488,7 +488,7 @@
 	case core.Served:
 		return reply, attempts, nil
 	case core.Refused:
-		err = &RefusedError{RetryAfter: a.RetryAfter}
+		err = &RefusedError{RetryAfter: a.RetryAfter, Why: a.Why}
 	case core.Late:
 		d.lateLog.Do(func() { d.log.Warn("answered at the last moment", "class", r.Class, "timeout", r.Timeout) })
 		err = ErrLate
@@ -586,6 +586,12 @@
 	return fmt.Errorf("%w: %s: %.40q", ErrBadRequest, what, fmt.Sprint(value))
 }
 
+// RecognisesKeys tells whether the Door recognises idempotency keys.
+func (d *Door) RecognisesKeys() bool { return d.keys != nil }
+
+// Speaks tells whether the Door reaches backends over a protocol.
+func (d *Door) Speaks(protocol string) bool { return d.protocols[protocol] != nil }
+
 // Settings are what the Door was made with, defaults filled in.
 func (d *Door) Settings() decision.Settings { return d.config.Settings }
 
--- a/door_http_test.go
+++ b/door_http_test.go
@@ -64,7 +64,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	d := &served{addr: ln.Addr().String(), door: door, stop: stop, done: make(chan error, 1)}
-	server := httpfront.NewServer(door, 426, time.Minute, slog.New(slog.DiscardHandler))
+	server := httpfront.NewServer(door, 426, time.Minute, slog.New(slog.DiscardHandler), httpfront.Options{})
 	go func() { d.done <- server.Run(ctx, ln) }()
 	t.Cleanup(func() {
 		stop()
--- a/errors.go
+++ b/errors.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"pumicecroft/decision"
 	"pumicecroft/internal/core"
 )
 
@@ -54,7 +55,8 @@
 
 // RefusedError is an ErrRefused that may say when to come back.
 type RefusedError struct {
-	RetryAfter time.Duration // 0: no advice
+	RetryAfter time.Duration   // 0: no advice
+	Why        decision.Reason // as the decision module has it; Unfit where something else refused
 }
 
 // Error tells the advice too.
--- a/http.go
+++ b/http.go
@@ -7,12 +7,12 @@
 	"io"
 	"math"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
 	"pumicecroft/decision"
+	"pumicecroft/internal/reqtarget"
 	"pumicecroft/internal/terms"
 )
 
@@ -50,7 +50,7 @@
 func (d *Door) Handle(w http.ResponseWriter, r *http.Request, m Mapper) {
 	answer, err := d.Ask(w, r, m)
 	if errors.Is(err, context.DeadlineExceeded) && r.Context().Err() != nil {
-		giveWay(w)
+		GiveWay(w)
 		return
 	}
 	WriteAnswer(w, answer, err)
@@ -141,11 +141,11 @@
 	hostLook    = time.Millisecond
 )
 
-// giveWay ends a handler whose host's time is up. The host may be about to answer, and a handler that returns too
+// GiveWay ends a handler whose host's time is up. The host may be about to answer, and a handler that returns too
 // soon would take that from it; http.TimeoutHandler even takes an empty 200 for the handler's answer then. So
 // 504 is written; where it can be flushed it is the answer; where it is held back, by a writer that the host has
 // wrapped, the handler waits a little for the host to have answered, which shows by writes that fail.
-func giveWay(w http.ResponseWriter) {
+func GiveWay(w http.ResponseWriter) {
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusGatewayTimeout)
 	if http.NewResponseController(w).Flush() == nil {
@@ -253,7 +253,7 @@
 	}
 	out := Request{ID: id, hasID: true, Class: class.Name, Plan: who.Plan, Customer: who.Customer, Key: h.key,
 		Timeout: max(1, time.Duration(min(seconds, class.Deadline.Seconds())*float64(time.Second))),
-		Method:  r.Method, Target: target(r), Host: r.Host}
+		Method:  r.Method, Target: reqtarget.Of(r), Host: r.Host}
 	t, ok := terms.Parse(h.terms, &d.config.Settings)
 	if !ok {
 		return bad("X-Call-Terms", h.terms)
@@ -265,19 +265,6 @@
 	return out, nil
 }
 
-// target is the request's path and query as they came, unless the host has changed the path (http.StripPrefix
-// does).
-func target(r *http.Request) string {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	if path == r.URL.Path {
-		return r.RequestURI
-	}
-	if plain, err := url.PathUnescape(path); err == nil && plain == r.URL.Path {
-		return r.RequestURI
-	}
-	return r.URL.RequestURI()
-}
-
 type headers struct{ id, class, plan, customer, timeout, terms, key string }
 
 // platformHeaders picks the platform's headers. One that is there twice could be read in two ways, here and behind
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,11 +97,12 @@
 	Request    decision.RequestID
 	Attempt    int
 	Backend    decision.BackendID
-	Due        time.Duration // of a Start
-	NotAfter   time.Duration // of a Start: it must not leave after that; 0: none
-	TimedOut   bool          // of a CallOff: the attempt's time is up
-	Verdict    Verdict       // of a Final
-	RetryAfter time.Duration // of a Final that refuses; 0: no advice
+	Due        time.Duration   // of a Start
+	NotAfter   time.Duration   // of a Start: it must not leave after that; 0: none
+	TimedOut   bool            // of a CallOff: the attempt's time is up
+	Verdict    Verdict         // of a Final
+	RetryAfter time.Duration   // of a Final that refuses; 0: no advice
+	Why        decision.Reason // of a Final that refuses
 }
 
 // Outcome is how an attempt ended, as its driver saw it.
@@ -408,7 +409,7 @@
 	case decision.Send:
 		c.send(a)
 	case decision.Refuse:
-		c.answer(a.Request, Effect{Verdict: Refused, RetryAfter: a.RetryAfter})
+		c.answer(a.Request, Effect{Verdict: Refused, RetryAfter: a.RetryAfter, Why: a.Why})
 	case decision.Fail:
 		c.answer(a.Request, Effect{Verdict: Failed})
 	case decision.Cancel:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"pumicecroft"
 	"pumicecroft/internal/httpfront"
@@ -38,7 +37,8 @@
 	reloading, stop := context.WithCancel(context.Background())
 	defer stop()
 	go reload(reloading, path, hup, moves)
-	return run(ctx, door, config.Name, config.Listen, config.Limits.ClientConns(), config.Settings.LongestDeadline())
+	front := httpfront.NewServer(door, config.Limits.ClientConns(), config.Settings.LongestDeadline(), slog.Default(), httpfront.Options{})
+	return run(ctx, door, config.Name, config.Listen, front.Run)
 }
 
 // server serves clients until ctx ends, and then until all that it took has its answer.
@@ -46,7 +46,7 @@
 
 // run serves a door on a socket, with servers beside it that listen already, until ctx ends or one of them fails, and all
 // that was taken has its answer.
-func run(ctx context.Context, door *pumicecroft.Door, name, listen string, conns int, longest time.Duration, beside ...server) error {
+func run(ctx context.Context, door *pumicecroft.Door, name, listen string, serveOn func(context.Context, net.Listener) error, beside ...server) error {
 	defer func() {
 		now, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -61,9 +61,7 @@
 		stop() // those beside it end at once
 	} else {
 		slog.Info("serving", "name", name, "listen", listener.Addr().String())
-		beside = append(beside, func(ctx context.Context) error {
-			return httpfront.NewServer(door, conns, longest, slog.Default()).Run(ctx, listener)
-		})
+		beside = append(beside, func(ctx context.Context) error { return serveOn(ctx, listener) })
 	}
 	errs := make(chan error, len(beside))
 	for _, serve := range beside {
--- a/internal/daemon/file.go
+++ b/internal/daemon/file.go
@@ -7,12 +7,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"pumicecroft"
 	"pumicecroft/consul"
 	"pumicecroft/grpcfront"
+	"pumicecroft/internal/httpfront"
 	"pumicecroft/internal/operator"
 	"pumicecroft/internal/platform"
 	"pumicecroft/membership"
@@ -23,6 +25,24 @@
 
 func (f fixed) Run(_ context.Context, update func(membership.List)) { update(f.list) }
 
+// speaking is a source whose nodes speak what it does not say.
+type speaking struct {
+	pumicecroft.Source
+	protocol string
+}
+
+func (s speaking) Run(ctx context.Context, update func(membership.List)) {
+	s.Source.Run(ctx, func(l membership.List) {
+		if s.protocol != "" {
+			l.Nodes = slices.Clone(l.Nodes)
+			for i := range l.Nodes {
+				l.Nodes[i].Protocol = s.protocol
+			}
+		}
+		update(l)
+	})
+}
+
 // sources are a file's, by precedence, with Consul's client if there is one.
 func sources(f operator.File) (options []pumicecroft.Option, client *consul.Client, err error) {
 	for _, name := range f.Sources {
@@ -37,7 +57,7 @@
 			}
 		case operator.SourceDiscovery:
 			options = append(options, pumicecroft.WithOrigin(membership.Origin{Name: name, Plain: true},
-				platform.Discovery{Addr: f.Discovery, From: platform.FromTheStart}))
+				speaking{platform.Discovery{Addr: f.Discovery, From: platform.FromTheStart}, f.DiscoverySpeaks}))
 		case operator.SourceFile:
 			options = append(options, pumicecroft.WithOrigin(membership.Origin{Name: name, Plain: true}, fixed{f.Backends}))
 		}
@@ -46,8 +66,9 @@
 }
 
 // ServeFile is one front door of an installation without the platform: it serves by an operator's file until ctx
-// ends.
-func ServeFile(ctx context.Context, f operator.File) error {
+// ends. At each value of hup it reads the file again, by again, and goes by the routes, the identities and the certificates that it names
+// then; nil: it does not. What else the file holds is for the next start.
+func ServeFile(ctx context.Context, f operator.File, again func() (operator.File, error), hup <-chan struct{}) error {
 	options, client, err := sources(f)
 	if err != nil {
 		return err
@@ -57,10 +78,29 @@
 		f.GRPC.Backends.Log = slog.Default()
 		options = append(options, grpcfront.WithBackends(f.GRPC.Backends))
 	}
+	var w *web
+	if f.Web != nil {
+		if w, err = newWeb(f); err != nil {
+			return err
+		}
+		options = append(options, w.options...)
+	}
 	door, err := pumicecroft.New(f.Door, options...)
 	if err != nil {
 		return err
 	}
+	serve := httpfront.NewServer(door, f.ClientConns, f.Door.Settings.LongestDeadline(), slog.Default(), httpfront.Options{}).Run
+	if w != nil {
+		if serve, err = w.front(door, f); err != nil {
+			door.Close(ctx)
+			return err
+		}
+		watching, stop := context.WithCancel(context.Background())
+		var ran sync.WaitGroup
+		defer ran.Wait()
+		defer stop()
+		ran.Go(func() { w.watch(watching, f, again, hup) })
+	}
 	if f.Members != "" {
 		stop, err := tellMembers(door, f.Members)
 		if err != nil {
@@ -93,7 +133,7 @@
 		}()
 		ctx = serving
 	}
-	return run(ctx, door, "", f.Listen, f.ClientConns, f.Door.Settings.LongestDeadline(), beside...)
+	return run(ctx, door, "", f.Listen, serve, beside...)
 }
 
 // listenGRPC makes a file's gRPC front, which listens and does not serve yet.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -185,7 +185,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		httpfront.NewServer(door, 512, 3*time.Second, slog.New(slog.DiscardHandler)).Run(ctx, ln)
+		httpfront.NewServer(door, 512, 3*time.Second, slog.New(slog.DiscardHandler), httpfront.Options{}).Run(ctx, ln)
 	}()
 	s.close = append(s.close, func() { s.transport.CloseIdleConnections(); stop(); <-ended })
 	return nil
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -154,9 +154,10 @@
 // Answer is the one final answer to a request.
 type Answer struct {
 	Verdict    core.Verdict
-	RetryAfter time.Duration // of a refusal; 0: no advice
-	Reply      Reply         // of a served request, and of a failed one whose last attempt was answered with an error
-	Attempts   int           // that were made
+	RetryAfter time.Duration   // of a refusal; 0: no advice
+	Why        decision.Reason // of a refusal
+	Reply      Reply           // of a served request, and of a failed one whose last attempt was answered with an error
+	Attempts   int             // that were made
 }
 
 // call is a request that is being served.
@@ -295,7 +296,7 @@
 			e.Tag.(*call).tries[e.Attempt].CallOff(why)
 		case core.Final:
 			k := e.Tag.(*call)
-			k.done, k.answer.Verdict, k.answer.RetryAfter = true, e.Verdict, e.RetryAfter
+			k.done, k.answer.Verdict, k.answer.RetryAfter, k.answer.Why = true, e.Verdict, e.RetryAfter, e.Why
 			if e.Verdict != core.Served && (e.Verdict != core.Failed || k.answer.Reply.Result != decision.AnsweredErr) {
 				k.answer.Reply = Reply{}
 			}
--- a/internal/httpfront/conns.go
+++ b/internal/httpfront/conns.go
@@ -78,7 +78,7 @@
 		if e == nil {
 			return // closed by shrink
 		}
-		if cc, ok := c.(*clientConn); ok {
+		if cc, ok := below(c).(*clientConn); ok {
 			cc.begun.Store(false) // what was read until here is answered
 		}
 		e.Value.(*entry).busy = false
@@ -126,8 +126,17 @@
 	}
 }
 
+// below is the connection that TLS is on, or the connection itself.
+func below(c net.Conn) net.Conn {
+	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
+		return t.NetConn()
+	}
+	return c
+}
+
 // asking tells whether some of a request has come on a connection that counts as silent.
 func asking(c net.Conn) bool {
+	c = below(c)
 	seen := netlook.At(c) // first, as what it sees may be read right behind
 	cc, ok := c.(*clientConn)
 	return seen == netlook.Waiting || ok && cc.begun.Load()
--- a/internal/httpfront/conns_test.go
+++ b/internal/httpfront/conns_test.go
@@ -38,7 +38,7 @@
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	t.Cleanup(stop)
-	s := NewServer(h, 5, 10*time.Second, slog.New(slog.DiscardHandler))
+	s := NewServer(h, 5, 10*time.Second, slog.New(slog.DiscardHandler), Options{})
 	go s.Run(ctx, ln)
 	return ln.Addr().String(), s
 }
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -4,7 +4,9 @@
 package httpfront
 
 import (
+	"cmp"
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -30,16 +32,25 @@
 type Server struct {
 	handler  http.Handler
 	longest  time.Duration // of all deadlines
+	options  Options
 	log      *slog.Logger
 	conns    *connTable
 	closing  atomic.Bool
 	lastConn atomic.Int64 // when the last connection was accepted, Unix time in nanoseconds
 }
 
+// Options are for clients that nobody here knows. The zero value is for the platform's.
+type Options struct {
+	TLS      *tls.Config   // nil: connections are plain
+	Ordinary bool          // HTTP/2 too, and no path is the server's own
+	Head     time.Duration // for a head to come whole; 0: headTime
+	MaxHead  int           // bytes; 0: 16 KiB
+}
+
 // NewServer serves clients with a handler. conns is how many connections they may hold, longest the longest
 // deadline of a request.
-func NewServer(handler http.Handler, conns int, longest time.Duration, log *slog.Logger) *Server {
-	return &Server{handler: handler, longest: longest, log: log, conns: newConnTable(conns)}
+func NewServer(handler http.Handler, conns int, longest time.Duration, log *slog.Logger, o Options) *Server {
+	return &Server{handler: handler, longest: longest, log: log, conns: newConnTable(conns), options: o}
 }
 
 // Run serves clients on a listener until ctx ends, and then for as long as it takes to lose nothing: it goes
@@ -47,12 +58,13 @@
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
 	srv := &http.Server{
 		Handler:           s,
-		ReadHeaderTimeout: headTime,
+		ReadHeaderTimeout: cmp.Or(s.options.Head, headTime),
 		// There is no ReadTimeout: it would also run while a request waits for its answer, and a read that times
 		// out then would look as if the client had gone. Bodies have a limit of their own.
 		WriteTimeout:   s.longest + 10*time.Second,
 		IdleTimeout:    idleTime,
-		MaxHeaderBytes: 16 << 10,
+		MaxHeaderBytes: cmp.Or(s.options.MaxHead, 16<<10),
+		TLSConfig:      s.options.TLS,
 		ErrorLog:       slog.NewLogLogger(s.log.Handler(), slog.LevelWarn),
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			if state == http.StateNew {
@@ -62,7 +74,19 @@
 		},
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(clientListener{listener}) }()
+	if s.options.Ordinary {
+		srv.Protocols = new(http.Protocols)
+		srv.Protocols.SetHTTP1(true)
+		srv.Protocols.SetHTTP2(s.options.TLS != nil)
+		srv.Protocols.SetUnencryptedHTTP2(s.options.TLS == nil)
+	}
+	go func() {
+		if s.options.TLS != nil {
+			ended <- srv.ServeTLS(clientListener{listener}, "", "")
+			return
+		}
+		ended <- srv.Serve(clientListener{listener})
+	}()
 	select {
 	case err := <-ended:
 		return err
@@ -85,7 +109,7 @@
 	if closing {
 		w.Header().Set("Connection", "close")
 	}
-	if r.URL.Path == "/ready" {
+	if r.URL.Path == "/ready" && !s.options.Ordinary {
 		if closing {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/internal/operator/grpc.go
+++ b/internal/operator/grpc.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"slices"
 	"time"
 
 	"pumicecroft/grpcfront"
@@ -71,6 +72,9 @@
 		if m.Class != "" && !classes[m.Class] {
 			d.bad(e.path, "class", "there is no class %q", m.Class)
 		}
+		if slices.ContainsFunc(f.classes, func(c class) bool { return c.Name == m.Class && c.byMethod }) {
+			d.bad(e.path, "class", "class %q has no effect, and over gRPC no method of HTTP's tells it", m.Class)
+		}
 		e.done()
 		c.Methods[n] = m
 	}
--- a/internal/operator/members.go
+++ b/internal/operator/members.go
@@ -48,6 +48,7 @@
 		if f.Discovery != "" {
 			checkAddress(d, s, "address", f.Discovery)
 		}
+		f.DiscoverySpeaks = s.serves("service", "", f)
 		s.done()
 	}
 	readBackends(d, top, f)
@@ -115,6 +116,7 @@
 		m := &v.Mapping
 		m.Zone, m.Cell, m.Model, m.Started = e.text("zone", false), e.text("cell", false), e.text("model", false), e.text("started", false)
 		m.Protocol = e.text("protocol", false)
+		m.Speaks = e.serves("service", "", f)
 		m.Name = e.text("node_name", false)
 		m.ServeWarning = e.oneOf("warning", "drain", "drain", "serve") == 1
 		for _, class := range f.Door.Settings.Classes { // a repeat to a backend that does not drop it runs twice
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,12 +6,14 @@
 import (
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
 	"pumicecroft"
 	"pumicecroft/decision"
 	"pumicecroft/membership"
+	"pumicecroft/webfront"
 )
 
 // File is what an operator's file says.
@@ -23,8 +25,13 @@
 	Sources     []string        // of backends, by precedence: SourceConsul and so on
 	Backends    membership.List // of SourceFile
 	Discovery   string          // host:port of the platform's discovery
-	Consul      *Consul
-	GRPC        *GRPC // nil: gRPC is off
+	// DiscoverySpeaks is what the backends there speak; empty: what the door takes them to.
+	DiscoverySpeaks string
+	Consul          *Consul
+	GRPC            *GRPC // nil: gRPC is off
+	Web             *Web  // nil: clients on Listen speak the platform's dialect
+
+	classes []class // the file's, before their variants
 }
 
 const (
@@ -46,9 +53,11 @@
 		checkAddress(d, top, "listen", f.Listen)
 	}
 	readDoor(top.table("door"), &f)
-	readClasses(d, top, &f.Door.Settings)
-	readPlans(d, top, &f.Door.Settings)
+	readServices(d, top, &f)
+	readClasses(d, top, &f)
+	readPlans(d, top, &f)
 	readMembers(d, top, &f)
+	readWeb(d, top, &f)
 	if s := top.table("grpc"); s.keys != nil {
 		f.GRPC = readGRPC(d, s, &f)
 	}
@@ -85,6 +94,18 @@
 	return names[s.oneOf("protocol", usual, names...)]
 }
 
+// serves gives what backends speak that are a service's.
+func (s *section) serves(key, usual string, f *File) string {
+	name := s.text(key, false)
+	if name == "" {
+		return usual
+	}
+	if f.Web == nil || !slices.ContainsFunc(f.Web.Services, func(v Service) bool { return v.Name == name }) {
+		s.d.bad(s.path, key, "there is no service %q", name)
+	}
+	return webfront.Protocol(name)
+}
+
 func readDoor(s *section, f *File) {
 	set, c := &f.Door.Settings, &f.Door
 	set.FrontDoors = s.whole("of", 1, 1, 10_000)
@@ -122,33 +143,56 @@
 	seen[name] = true
 }
 
-func readClasses(d *document, top *section, set *decision.Settings) {
+// readClass reads what a class has beside its name and effect.
+func readClass(d *document, s *section, name string) decision.Class {
+	c := decision.Class{Name: name}
+	c.Group = decision.Group(s.oneOf("group", "all", "all", "zone", "cell"))
+	c.KeyWindow = s.duration("key_window", 0, 0, day)
+	c.Deadline = s.duration("deadline", 10*time.Second, time.Millisecond, time.Hour)
+	c.Aim = s.duration("aim", c.Deadline/2, time.Millisecond, time.Hour)
+	c.Worth = s.number("worth", 1, 0, any_)
+	c.LateWorth = s.number("late_worth", 0, 0, 1)
+	if c.Aim > c.Deadline {
+		d.bad(s.path, "aim", "%v is over the deadline of %v", c.Aim, c.Deadline)
+	}
+	return c
+}
+
+// readClasses reads classes; services have brought theirs, whose place one of the same name takes.
+func readClasses(d *document, top *section, f *File) {
+	set := &f.Door.Settings
 	seen := map[string]bool{}
 	for _, s := range top.list("class") {
-		c := decision.Class{Name: s.text("name", true)}
+		c := class{Class: readClass(d, s, s.text("name", true))}
 		names(d, seen, s, c.Name)
+		_, told := s.get("effect")
+		c.byMethod = f.Web != nil && !told
 		c.Effect = decision.Effect(s.oneOf("effect", "safe", "safe", "keyed", "unsafe"))
-		c.Group = decision.Group(s.oneOf("group", "all", "all", "zone", "cell"))
-		c.KeyWindow = s.duration("key_window", 0, 0, day)
-		c.Deadline = s.duration("deadline", 10*time.Second, time.Millisecond, time.Hour)
-		c.Aim = s.duration("aim", c.Deadline/2, time.Millisecond, time.Hour)
-		c.Worth = s.number("worth", 1, 0, any_)
-		c.LateWorth = s.number("late_worth", 0, 0, 1)
-		if c.Aim > c.Deadline {
-			d.bad(s.path, "aim", "%v is over the deadline of %v", c.Aim, c.Deadline)
-		}
 		if c.Effect == decision.Keyed && c.KeyWindow == 0 {
 			d.bad(s.path, "key_window", "a keyed class needs it: how long backends of a group drop a repeat")
 		}
 		s.done()
-		set.Classes = append(set.Classes, c)
+		if i := slices.IndexFunc(f.classes, func(k class) bool { return k.Name == c.Name }); i >= 0 {
+			f.classes[i] = c
+		} else {
+			f.classes = append(f.classes, c)
+		}
+	}
+	for _, c := range f.classes {
+		if !c.byMethod {
+			set.Classes = append(set.Classes, c.Class)
+			continue
+		}
+		all, _ := spread(c.Class)
+		set.Classes = append(set.Classes, all...)
 	}
 	if len(set.Classes) == 0 {
 		d.bad("", "class", "there is none: [[class]] with at least a name")
 	}
 }
 
-func readPlans(d *document, top *section, set *decision.Settings) {
+func readPlans(d *document, top *section, f *File) {
+	set := &f.Door.Settings
 	seen := map[string]bool{}
 	for _, s := range top.list("plan") {
 		p := decision.Plan{Name: s.text("name", true)}
@@ -169,6 +213,9 @@
 		s.done()
 		set.Plans = append(set.Plans, p)
 	}
+	if len(set.Plans) == 0 && f.Web != nil {
+		set.Plans = []decision.Plan{{Name: "everyone", Price: 1}} // without a quota
+	}
 	if len(set.Plans) == 0 {
 		d.bad("", "plan", "there is none: [[plan]] with at least a name")
 	}
@@ -181,6 +228,7 @@
 		n := membership.Node{Name: s.text("name", true), Addr: s.text("address", true), Zone: s.text("zone", false),
 			Kind: s.text("model", false), Cell: s.whole("cell", 0, 0, math.MaxInt32), Weight: s.number("weight", 1, 0, any_),
 			Protocol: s.protocol("")}
+		n.Protocol = s.serves("service", n.Protocol, f)
 		names(d, seen, s, n.Name)
 		if n.Addr != "" {
 			checkAddress(d, s, "address", n.Addr)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -96,7 +96,7 @@
 		"misspelt key":                 {`number = 1`, `numbre = 1`, "line 4: door.numbre: no such key; there are answer_grace, "},
 		"a journal without keys in it": {`[door]`, "[keys]\njournal_down = \"refuse\"\n[door]", "line 4: keys.journal_down: it is of no use without journal, the directory"},
 		"a rule of no name":            {`[door]`, "[keys]\njournal = \"k\"\njournal_down = \"wait\"\n[door]", `line 5: keys.journal_down: "wait" is none of serve, refuse`},
-		"misspelt table":               {`[door]`, `[doors]`, "line 3: doors: no such key; there are backend, class, consul, discovery, door, grpc, keys, listen, members, membership, plan, sources, state_dir"},
+		"misspelt table":               {`[door]`, `[doors]`, "line 3: doors: no such key; there are backend, class, consul, discovery, door, grpc, http, identity, keys, listen, members, membership, plan, route, service, sources, state_dir, tls"},
 		"number too high":              {`number = 1`, `number = 2`, "line 4: door.number: 2 is not below of = 2"},
 		"whole number wanted":          {`of = 2`, `of = 2.5`, "line 5: door.of: it is a number, not a whole number"},
 		"out of range":                 {`of = 2`, `of = 0`, "line 5: door.of: 0 is not from 1 to 10000"},
--- /dev/null
+++ b/internal/operator/web.go
@@ -0,0 +1,473 @@
+package operator
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/identity"
+	"pumicecroft/internal/webwire"
+	"pumicecroft/membership"
+	"pumicecroft/routes"
+	"pumicecroft/webfront"
+)
+
+// Web is what a file says of ordinary HTTP. Files that it names are not read here.
+type Web struct {
+	Front      webfront.Config // without its Rules
+	Services   []Service
+	Routes     []routes.Rule[*webfront.Route]
+	Table      *routes.Table[*webfront.Route]
+	Identities []Identity
+	Trusted    []netip.Prefix
+	Remove     []string
+	TLS        *TLS // nil: the listener is plain
+}
+
+// Service is one service.
+type Service struct {
+	webfront.ServiceConfig
+	HostOfBackend bool // Host is the backend's address
+	TLS           *ServiceTLS
+}
+
+// ServiceTLS is how a service's backends are reached over TLS.
+type ServiceTLS struct {
+	At               Place
+	CAFile, Name     string
+	Pins             []string // SHA-256 of keys, in base64
+	CertFile, KeyID  string
+	MinTLS12, SkipCA bool
+}
+
+// Place is where a section stands, for what is wrong with files that it names.
+type Place struct {
+	Line int
+	Path string
+}
+
+// Problem is one with a key of the section.
+func (p Place) Problem(key string, err error) Problem {
+	return Problem{Line: p.Line, Key: join(p.Path, key), What: err.Error()}
+}
+
+func (s *section) place() Place { return Place{max(1, s.d.lines[s.path]), s.path} }
+
+// Identity is one rule of who asks; what its Kind does not use is empty.
+type Identity struct {
+	At         Place
+	Kind       string // key, header, certificate, token or address
+	Name       string
+	Field      string
+	Scheme     string
+	File       string
+	Plan       string
+	PlanIn     string
+	UnitsIn    string
+	Hex        bool
+	CertName   identity.CertName
+	PlanOf     map[string]string
+	Algorithms []string
+	Secret     bool // File is a shared secret
+	Issuer     string
+	Audience   string
+	CustomerIn string
+	Leeway     time.Duration
+	V6         int
+}
+
+// TLS is what a file says of the listener's TLS.
+type TLS struct {
+	At           Place
+	Certificates []Certificate
+	MinTLS12     bool
+	ClientCAFile string
+	ClientAuth   string // none, ask or require
+	Every        time.Duration
+}
+
+// Certificate is a pair of files.
+type Certificate struct {
+	At                Place
+	CertFile, KeyFile string
+}
+
+// The names of a class's variants, where its requests' methods say what a repeat may do.
+const (
+	onceSuffix  = " (once)"
+	keyedSuffix = " (keyed)"
+)
+
+// spread makes the variants of a class whose effect is by method.
+func spread(c decision.Class) ([]decision.Class, webfront.Classes) {
+	out := webfront.Classes{Safe: c.Name, Unsafe: c.Name + onceSuffix}
+	c.Effect = decision.Safe
+	once := c
+	once.Name, once.Effect, once.KeyWindow = out.Unsafe, decision.Unsafe, 0
+	all := []decision.Class{c, once}
+	if c.KeyWindow > 0 {
+		keyed := c
+		out.Keyed = c.Name + keyedSuffix
+		keyed.Name, keyed.Effect = out.Keyed, decision.Keyed
+		all = append(all, keyed)
+	}
+	all[0].KeyWindow = 0
+	return all, out
+}
+
+// readServices reads [[service]], before classes: each brings a class of its own name, unless the file has one.
+func readServices(d *document, top *section, f *File) {
+	list := top.list("service")
+	if list == nil {
+		return
+	}
+	w := &Web{}
+	f.Web = w
+	seen := map[string]bool{}
+	for _, s := range list {
+		v := Service{}
+		v.Name = s.text("name", true)
+		names(d, seen, s, v.Name)
+		for _, addr := range s.texts("backends") {
+			checkAddress(d, s, "backends", addr)
+			f.Backends.Nodes = append(f.Backends.Nodes, membership.Node{Name: v.Name + "/" + addr, Addr: addr, Weight: 1, Protocol: webfront.Protocol(v.Name)})
+		}
+		v.Conns = s.whole("backend_connections", 256, 1, many)
+		v.Connect = s.duration("connect_timeout", 0, time.Millisecond, time.Minute)
+		v.Idle = s.duration("idle_timeout", 15*time.Second, time.Millisecond, day)
+		if v.Hold = s.whole("hold", 64<<10, 0, 1<<30); v.Hold == 0 {
+			v.Hold = -1
+		}
+		v.HostOfBackend = s.oneOf("host", "keep", "keep", "backend") == 1
+		if t := s.table("tls"); t.keys != nil {
+			v.TLS = readServiceTLS(d, t)
+		}
+		c := readClass(d, s, v.Name)
+		s.done()
+		w.Services = append(w.Services, v)
+		f.classes = append(f.classes, class{c, true})
+	}
+}
+
+func readServiceTLS(d *document, s *section) *ServiceTLS {
+	t := &ServiceTLS{At: s.place(), CAFile: s.text("ca_file", false), Name: s.text("name", false), Pins: s.texts("pins"),
+		CertFile: s.text("cert_file", false), KeyID: s.text("key_file", false)}
+	t.MinTLS12 = s.oneOf("min", "1.3", "1.3", "1.2") == 1
+	t.SkipCA = s.oneOf("verify", "ca", "ca", "pins") == 1
+	if t.SkipCA && len(t.Pins) == 0 {
+		d.bad(s.path, "verify", "there are no pins to go by")
+	}
+	if (t.CertFile == "") != (t.KeyID == "") {
+		d.bad(s.path, "key_file", "cert_file and key_file go together")
+	}
+	s.done()
+	return t
+}
+
+// class is one of a file; byMethod: its requests' methods say what a repeat may do.
+type class struct {
+	decision.Class
+	byMethod bool
+}
+
+// readWeb reads the rest of ordinary HTTP; classes and plans have been read.
+func readWeb(d *document, top *section, f *File) {
+	w := f.Web
+	if w == nil {
+		for _, key := range []string{"route", "identity", "http", "tls"} {
+			if _, there := top.get(key); there {
+				d.bad("", key, "it is of no use without a [[service]]")
+			}
+		}
+		return
+	}
+	readHTTP(d, top.table("http"), w)
+	var plans []string
+	for _, p := range f.Door.Settings.Plans {
+		plans = append(plans, p.Name)
+	}
+	readRoutes(d, top, f)
+	readIdentities(d, top, w, plans)
+	if s := top.table("tls"); s.keys != nil {
+		w.TLS = readTLS(d, s)
+	}
+	for i, id := range w.Identities {
+		if id.Kind == "certificate" && (w.TLS == nil || w.TLS.ClientAuth == "none") {
+			d.bad(fmt.Sprintf("identity[%d]", i), "kind", "no client brings a certificate: [tls] with client_auth is missing")
+		}
+	}
+}
+
+func readHTTP(d *document, s *section, w *Web) {
+	c := &w.Front
+	for _, text := range s.texts("trusted") {
+		p, err := netip.ParsePrefix(text)
+		if a, e := netip.ParseAddr(text); e == nil {
+			p, err = netip.PrefixFrom(a, a.BitLen()), nil
+		}
+		if err != nil {
+			d.bad(s.path, "trusted", "%q is no address nor a prefix such as 10.0.0.0/8", text)
+			continue
+		}
+		w.Trusted = append(w.Trusted, p.Masked())
+	}
+	c.Style = []webfront.Style{webfront.XForwarded, webfront.Forwarded, webfront.Untold}[s.oneOf("forwarded", "x-forwarded", "x-forwarded", "rfc7239", "none")]
+	field := func(key, usual string) string {
+		v := usual
+		if _, there := s.get(key); there {
+			v = s.text(key, false)
+		}
+		return s.field(key, v)
+	}
+	if c.Via = s.text("via", false); c.Via != "" && !webwire.IsName(c.Via) {
+		d.bad(s.path, "via", "%q is no pseudonym that Via can hold", c.Via)
+	}
+	c.TimeoutIn, c.LeftIn, c.IDIn, c.KeyIn = field("timeout_header", ""), field("left_header", ""), field("id_header", "X-Request-Id"), field("key_header", "Idempotency-Key")
+	c.UniqueIDs = s.yes("unique_ids", false)
+	c.BodyTimeout = s.duration("body_timeout", 10*time.Second, time.Millisecond, time.Hour)
+	c.BodyMemory = int64(s.whole("body_memory", 64<<20, 1, 1<<40))
+	c.MostKeyed = s.whole("most_keyed_answer", 1<<20, 1, 1<<30)
+	s.done()
+}
+
+// field checks that a text can be a field's name.
+func (s *section) field(key, v string) string {
+	if v != "" && !webwire.IsName(v) {
+		s.d.bad(s.path, key, "%q can't be a field's name", v)
+	}
+	return webwire.Canonical(v)
+}
+
+func readRoutes(d *document, top *section, f *File) {
+	w := f.Web
+	classOf := map[string]webfront.Classes{}
+	for _, c := range f.classes {
+		if c.byMethod {
+			_, classOf[c.Name] = spread(c.Class)
+		} else {
+			classOf[c.Name] = map[decision.Effect]webfront.Classes{decision.Safe: {Safe: c.Name}, decision.Keyed: {Keyed: c.Name}, decision.Unsafe: {Unsafe: c.Name}}[c.Effect]
+		}
+	}
+	serves := func(name string) bool {
+		return slices.ContainsFunc(w.Services, func(s Service) bool { return s.Name == name })
+	}
+	list := top.list("route")
+	for i, s := range list {
+		to := &webfront.Route{}
+		r := routes.Rule[*webfront.Route]{Name: s.text("name", false), Line: s.place().Line, Host: s.text("host", false), Path: s.text("path", false),
+			Methods: s.texts("methods"), To: to}
+		if r.Name == "" {
+			r.Name = fmt.Sprintf("route %d", i)
+		}
+		if r.Path == "" {
+			r.Path = "/{rest...}"
+		}
+		conditions := func(key string) (out []routes.Condition) {
+			for _, text := range s.texts(key) {
+				name, value, _ := strings.Cut(text, "=")
+				out = append(out, routes.Condition{Name: name, Value: value})
+			}
+			return out
+		}
+		r.Headers, r.Query = conditions("headers"), conditions("query")
+		if to.Refuse = s.whole("refuse", 0, 400, 599); to.Refuse == 0 {
+			if to.Service = s.text("service", len(w.Services) > 1); to.Service == "" && len(w.Services) > 0 {
+				to.Service = w.Services[0].Name
+			}
+			if !serves(to.Service) {
+				d.bad(s.path, "service", "there is no service %q", to.Service)
+			}
+			name := s.text("class", false)
+			if name == "" {
+				name = to.Service
+			}
+			var there bool
+			if to.Class, there = classOf[name]; !there && serves(to.Service) {
+				d.bad(s.path, "class", "there is no class %q", name)
+			}
+			if _, there := s.get("effect"); there {
+				e := decision.Effect(s.oneOf("effect", "safe", "safe", "keyed", "unsafe"))
+				to.Effect = &e
+			}
+			to.Units = s.number("units", 0, 0, any_)
+			to.Timeout = s.duration("timeout", 0, time.Millisecond, time.Hour)
+			to.MaxBody = int64(s.whole("max_body", 1<<20, 0, 1<<40))
+			to.Statuses = webfront.Statuses{Answered: s.wholes("answered"), Refused: s.wholes("refused"), Failed: s.wholes("failed")}
+			if err := to.Statuses.Check(); err != nil {
+				d.bad(s.path, "", "%v", err)
+			}
+		}
+		s.done()
+		w.Routes = append(w.Routes, r)
+	}
+	if len(list) == 0 {
+		for _, s := range w.Services[:min(1, len(w.Services))] {
+			w.Routes = append(w.Routes, routes.Rule[*webfront.Route]{Name: "all", Line: 1, Path: "/{rest...}", To: &webfront.Route{Service: s.Name, Class: classOf[s.Name]}})
+		}
+		if len(w.Services) > 1 {
+			d.bad("", "route", "there is none, and there are several services: [[route]] with a service and a host or path")
+		}
+	}
+	var err error
+	if w.Table, err = routes.New(w.Routes); err != nil {
+		for _, p := range err.(routes.Problems) {
+			at := ""
+			if i := slices.IndexFunc(w.Routes, func(r routes.Rule[*webfront.Route]) bool { return r.Line == p.Line }); i >= 0 && len(list) > 0 {
+				at = fmt.Sprintf("route[%d]", i)
+			}
+			if p.Other > 0 {
+				p.What += fmt.Sprintf(" (line %d)", p.Other)
+			}
+			d.problems = append(d.problems, Problem{Line: p.Line, Key: at, What: p.What})
+		}
+	}
+}
+
+func readIdentities(d *document, top *section, w *Web, plans []string) {
+	usual := ""
+	if len(plans) > 0 {
+		usual = plans[0]
+	}
+	list := top.list("identity")
+	for i, s := range list {
+		kinds := []string{"key", "header", "certificate", "token", "address"}
+		id := Identity{At: s.place(), Kind: kinds[s.oneOf("kind", "", kinds...)]}
+		if _, there := s.get("kind"); !there {
+			d.bad(s.path, "kind", "it is missing: one of %s", strings.Join(kinds, ", "))
+		}
+		if id.Name = s.text("name", false); id.Name == "" {
+			id.Name = fmt.Sprintf("%s %d", id.Kind, i)
+		}
+		plan := func(must bool) {
+			id.Plan = s.text("plan", must)
+			if id.Plan != "" && !slices.Contains(plans, id.Plan) {
+				d.bad(s.path, "plan", "there is no plan %q", id.Plan)
+			}
+		}
+		field := func(key, usual string, must bool) string {
+			v := s.text(key, must && usual == "")
+			if v == "" {
+				v = usual
+			}
+			return s.field(key, v)
+		}
+		switch id.Kind {
+		case "key":
+			id.Field, id.Scheme, id.File = field("header", "X-Api-Key", true), s.text("scheme", false), s.text("file", true)
+			if s.yes("remove", true) {
+				w.Remove = append(w.Remove, id.Field)
+			}
+		case "header":
+			id.Field, id.PlanIn, id.UnitsIn, id.Hex = field("customer", "", true), field("plan_header", "", false), field("units_header", "", false), s.yes("hex", false)
+			plan(id.PlanIn == "")
+			if len(w.Trusted) == 0 {
+				d.bad(s.path, "kind", "nobody is trusted to set a header: [http] trusted is missing")
+			}
+		case "certificate":
+			id.CertName = identity.CertName(s.oneOf("customer", "cn", "cn", "dns", "uri", "key"))
+			id.PlanOf = map[string]string{}
+			plan(false)
+			for _, text := range s.texts("plans") {
+				name, p, ok := strings.Cut(text, "=")
+				if !ok || !slices.Contains(plans, p) {
+					d.bad(s.path, "plans", "%q is not NAME=PLAN with a plan that there is", text)
+				}
+				id.PlanOf[name] = p
+			}
+			if id.Plan == "" && len(id.PlanOf) == 0 {
+				d.bad(s.path, "plan", "it is missing, and so is plans")
+			}
+		case "token":
+			id.Field, id.Scheme = field("header", "Authorization", true), s.text("scheme", false)
+			if id.Scheme == "" && id.Field == "Authorization" {
+				id.Scheme = "Bearer"
+			}
+			id.Algorithms = s.texts("algorithms")
+			if len(id.Algorithms) == 0 {
+				d.bad(s.path, "algorithms", "it is missing: the ones that tokens are signed by, such as [\"ES256\"]")
+			}
+			for _, a := range id.Algorithms {
+				if err := identity.CheckAlgorithm(a); err != nil {
+					d.bad(s.path, "algorithms", "%v", err)
+				}
+			}
+			keys, secret := s.text("keys_file", false), s.text("secret_file", false)
+			if (keys == "") == (secret == "") {
+				d.bad(s.path, "keys_file", "either keys_file, with public keys in PEM, or secret_file")
+			}
+			id.File, id.Secret = keys+secret, secret != ""
+			id.Issuer, id.Audience, id.CustomerIn, id.PlanIn = s.text("issuer", false), s.text("audience", true), s.text("customer", false), s.text("plan_claim", false)
+			id.Leeway = s.duration("leeway", 0, 0, time.Hour)
+			plan(id.PlanIn == "")
+			if s.yes("remove", false) {
+				w.Remove = append(w.Remove, id.Field)
+			}
+		case "address":
+			plan(true)
+			id.V6 = s.whole("v6_bits", 64, 16, 128)
+			if i != len(list)-1 {
+				d.bad(s.path, "kind", "everyone has an address: what follows is never looked at")
+			}
+		}
+		s.done()
+		w.Identities = append(w.Identities, id)
+	}
+	if len(list) == 0 {
+		w.Identities = []Identity{{At: Place{Line: 1}, Kind: "address", Name: "address", Plan: usual, V6: 64}}
+	}
+}
+
+func readTLS(d *document, s *section) *TLS {
+	t := &TLS{At: s.place(), ClientCAFile: s.text("client_ca_file", false)}
+	t.MinTLS12 = s.oneOf("min", "1.3", "1.3", "1.2") == 1
+	auth := []string{"none", "ask", "require"}
+	t.ClientAuth = auth[s.oneOf("client_auth", "none", auth...)]
+	t.Every = s.duration("reload_every", 10*time.Second, 10*time.Millisecond, day)
+	if (t.ClientCAFile == "") != (t.ClientAuth == "none") {
+		d.bad(s.path, "client_auth", "client_ca_file and a client_auth of ask or require go together")
+	}
+	for _, e := range s.list("certificate") {
+		t.Certificates = append(t.Certificates, Certificate{e.place(), e.text("cert_file", true), e.text("key_file", true)})
+		e.done()
+	}
+	if len(t.Certificates) == 0 {
+		d.bad(s.path, "certificate", "there is none: [[tls.certificate]] with cert_file and key_file")
+	}
+	s.done()
+	return t
+}
+
+// wholes gives a list of whole numbers.
+func (s *section) wholes(key string) (out []int) {
+	v, ok := s.get(key)
+	if !ok {
+		return nil
+	}
+	all, isList := v.([]any)
+	for _, e := range all {
+		n, isWhole := e.(int64)
+		isList = isList && isWhole
+		out = append(out, int(n))
+	}
+	if !isList {
+		s.d.bad(s.path, key, "it is not a list of whole numbers")
+		return nil
+	}
+	return out
+}
+
+// HostOf gives the host of a backend's address, with its port unless it is the scheme's own.
+func HostOf(addr string, tls bool) string {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || !(tls && port == "443" || !tls && port == "80") {
+		return addr
+	}
+	if strings.Contains(host, ":") {
+		return "[" + host + "]"
+	}
+	return host
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -48,6 +48,8 @@
 	Started string
 	// ServeWarning says that a node in warning is sent to, with its weight for that; else it drains.
 	ServeWarning bool
+	// Speaks is what nodes speak of which Protocol's key says nothing.
+	Speaks string
 }
 
 // Book is one service's entries as they were told. It is not safe for concurrent use.
@@ -181,7 +183,9 @@
 	r.called = b.look(b.mapping.Name, e)
 	n := &r.node
 	n.Name, n.Addr, n.Zone, n.Kind = name, e.Addr, b.look(b.mapping.Zone, e), b.look(b.mapping.Model, e)
-	n.Protocol = b.look(b.mapping.Protocol, e)
+	if n.Protocol = b.look(b.mapping.Protocol, e); n.Protocol == "" {
+		n.Protocol = b.mapping.Speaks
+	}
 	n.Cell = cellOf(b.look(b.mapping.Cell, e), name)
 	n.State, n.Weight, n.Note = b.judge(e)
 }
--- /dev/null
+++ b/internal/webback/attempt.go
@@ -0,0 +1,385 @@
+package webback
+
+import (
+	"bytes"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/core"
+	"pumicecroft/internal/drive"
+	"pumicecroft/internal/webwire"
+	"pumicecroft/keys"
+)
+
+// Request is what an attempt carries: see drive.Attempt.Load. It is one client's request, over all attempts.
+type Request struct {
+	webwire.Request
+	Service  string // whose backends it goes to
+	Statuses *webwire.Statuses
+	Sink     Sink // nil: the answer is wanted whole, of MostWhole bytes at most
+	// MostWhole bounds an answer that is wanted whole, as the answer to a request with a key is.
+	MostWhole int
+	// Digest tells it apart from others of its key; nil: it has none.
+	Digest [][]byte
+
+	mu      sync.Mutex
+	refusal *Answer
+}
+
+// Sink takes an answer that is passed on as it comes. Head, Write and Trailer are called by one attempt only, as the core allows one to
+// begin; Info may be called by any attempt before.
+type Sink interface {
+	// Info passes on a 1xx answer.
+	Info(status int, h http.Header)
+	// Head begins the answer; length is below 0 if it is not known. due is when the attempt ends at the latest.
+	Head(a *Answer, length int64, due time.Time)
+	// Write takes a part of the body. flush: what comes next is not there yet. An error ends the attempt.
+	Write(p []byte, flush bool) error
+	// Trailer ends the answer, with the fields behind its body.
+	Trailer(h http.Header)
+}
+
+// Answer is a backend's answer.
+type Answer struct {
+	Status   int
+	Header   http.Header
+	Trailer  http.Header // those announced in an answer that has begun have no values yet
+	Body     []byte
+	Streamed bool // it went to the Sink
+	length   int64
+}
+
+// Length is that of the body as the head told it; below 0: it did not.
+func (a *Answer) Length() int64 { return a.length }
+
+// Protocol is what it goes over.
+func (r *Request) Protocol() string { return Protocol(r.Service) }
+
+// Parts tell a request with a key apart from others of it; nil: its answer can't be given again.
+func (r *Request) Parts() [][]byte { return r.Digest }
+
+// Keep makes what can be kept of a backend's answer.
+func (r *Request) Keep(reply any) (keys.Answer, error) {
+	a := reply.(*Answer)
+	var b bytes.Buffer
+	err := gob.NewEncoder(&b).Encode(a) // what it exports
+	return keys.Answer{Status: a.Status, ContentType: "application/http", Body: b.Bytes()}, err
+}
+
+// Again makes the answer of what Keep made.
+func (r *Request) Again(k keys.Answer) (any, error) {
+	a := &Answer{}
+	if err := gob.NewDecoder(bytes.NewReader(k.Body)).Decode(a); err != nil {
+		return nil, fmt.Errorf("a kept answer: %w", err)
+	}
+	a.length = int64(len(a.Body))
+	return a, nil
+}
+
+// Refusal is the last answer by which a backend refused the request, or nil.
+func (r *Request) Refusal() *Answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refusal
+}
+
+// Why an answer can't be passed on.
+var (
+	errStatus = errors.New("a status that is none")
+	errSwitch = errors.New("the answer switches protocols, which nobody asked for")
+	errMany   = errors.New("1xx answers without an end")
+	errWhole  = errors.New("the answer is larger than one to a request with a key may be")
+)
+
+const (
+	mostInfos  = 8
+	inlineBody = 64 << 10 // a longer body is written beside the reading, as a backend may answer before it has it
+	copyRoom   = 32 << 10
+)
+
+var (
+	buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
+	rooms   = sync.Pool{New: func() any { b := make([]byte, copyRoom); return &b }}
+)
+
+// Carry makes an attempt. One that is answered, with an error too, gives an *Answer.
+func (b *Backends) Carry(a *drive.Attempt) drive.Reply {
+	req := a.Load.(*Request)
+	c, result := b.conn(a, false)
+	for {
+		if c == nil {
+			return reply(result)
+		}
+		x := exchange{b: b, a: a, req: req, c: c}
+		r, again := x.run()
+		if !again {
+			return r
+		}
+		// A kept connection turned out to be dead before the request's head was on it.
+		c, result = b.conn(a, true)
+	}
+}
+
+// exchange is one request on one connection.
+type exchange struct {
+	b    *Backends
+	a    *drive.Attempt
+	req  *Request
+	c    *conn
+	at   webwire.Progress
+	beat chan error // of a body that is written beside the reading
+}
+
+// run makes the exchange; again: nothing of it has run, and another connection may do better.
+func (x *exchange) run() (r drive.Reply, again bool) {
+	c := x.c
+	if x.a.Wait(c.cut) != nil || x.a.TooLate() {
+		x.a.Wait(nil)
+		x.b.finish(c, x.a, false)
+		return reply(decision.NotSent), false
+	}
+	c.begin(x.b.config.MaxHead)
+	if err := x.write(); err != nil && !x.at.Ran() {
+		kept := c.pooled.Used()
+		x.b.drop(c)
+		if kept && x.a.Wait(nil) == nil {
+			return drive.Reply{}, true
+		}
+		return reply(x.at.Result(x.why(err))), false
+	}
+	r, clean := x.read()
+	if x.beat != nil {
+		select {
+		case err := <-x.beat:
+			clean = clean && err == nil
+		default: // answered before the backend had the request whole
+			clean = false
+			c.cut()
+			<-x.beat
+		}
+	}
+	x.b.finish(c, x.a, clean && c.br.Buffered() == 0)
+	return r, false
+}
+
+// finish gives a connection back.
+func (b *Backends) finish(c *conn, a *drive.Attempt, clean bool) {
+	if a.Wait(nil) != nil { // it was called off, and the connection cut
+		clean = false
+	}
+	if clean {
+		b.keep(c)
+	} else {
+		b.drop(c)
+	}
+}
+
+// why tells how the attempt ended, given what a read or a write said.
+func (x *exchange) why(err error) webwire.Why {
+	switch x.a.Off() {
+	case drive.ErrCalledOff:
+		return webwire.CalledOff
+	case drive.ErrTimeUp:
+		return webwire.TimeUp
+	}
+	if err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF) {
+		return webwire.Ended
+	}
+	if _, system := errors.AsType[interface {
+		error
+		Timeout() bool
+	}](err); system {
+		return webwire.Ended
+	}
+	return webwire.Spoilt
+}
+
+// write writes the request; a long body goes on beside the reading.
+func (x *exchange) write() error {
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	host := x.req.Host
+	if x.b.config.HostOf != nil {
+		host = x.b.config.HostOf(x.c.host)
+	}
+	req := x.req.Request
+	req.Host = host
+	p := req.AppendHead((*buf)[:0], time.Until(x.a.Due))
+	x.at.Head = len(p)
+	long := len(x.req.Body) > inlineBody
+	if !long {
+		p = req.AppendBody(p)
+	}
+	n, err := x.c.write(p)
+	if cap(p) <= inlineBody {
+		*buf = p[:0]
+	}
+	x.at.Wrote = n
+	if err != nil || !long {
+		return err
+	}
+	x.beat = make(chan error, 1)
+	go func() {
+		body := req.Body
+		if len(req.Trailer) > 0 {
+			body = req.AppendBody(nil)
+		}
+		_, err := x.c.write(body)
+		x.beat <- err
+	}()
+	return nil
+}
+
+// read reads the answer and passes it on. clean tells whether the connection may be used again.
+func (x *exchange) read() (r drive.Reply, clean bool) {
+	res, err := x.head()
+	if err != nil {
+		return x.failed(err), false
+	}
+	x.c.left = -1
+	a := &Answer{Status: res.StatusCode, Header: res.Header, Trailer: res.Trailer, length: res.ContentLength}
+	h := res.Header
+	result := x.req.Statuses.Result(res.StatusCode, len(h["Retry-After"]) > 0, len(h["Not-Started"]) == 1 && h["Not-Started"][0] == "1")
+	out := drive.Reply{Outcome: core.Outcome{Result: result}, Body: a}
+	if use := h["X-Ratelimit-Used"]; len(use) == 1 {
+		out.Use, out.HasUse = x.b.readings.Use(use[0])
+	}
+	hold, most := int64(x.b.config.Hold), int64(x.req.MostWhole)
+	if result != decision.Answered {
+		hold = int64(x.b.config.MaxError)
+	}
+	end := !res.Close
+	switch {
+	case res.Body == http.NoBody:
+	case x.req.Sink == nil || res.ContentLength >= 0 && res.ContentLength <= hold:
+		if x.req.Sink != nil {
+			most = hold
+		}
+		err = x.whole(res, a, most)
+	case result != decision.Answered && res.ContentLength < 0:
+		var more bool
+		if more, err = x.some(res, a, hold); more && err == nil {
+			return x.stream(res, a, out, end)
+		}
+	default:
+		return x.stream(res, a, out, end)
+	}
+	switch {
+	case err != nil:
+		return x.failed(err), false
+	case result == decision.Refused:
+		x.req.mu.Lock()
+		x.req.refusal = a
+		x.req.mu.Unlock()
+		out.Body = nil
+	}
+	return out, end
+}
+
+// head reads an answer's head, and passes on the 1xx ones ahead of it.
+func (x *exchange) head() (*http.Response, error) {
+	for infos := 0; ; infos++ {
+		res, err := http.ReadResponse(x.c.br, &http.Request{Method: x.req.Method})
+		switch {
+		case err != nil:
+			return nil, err
+		case res.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitch
+		case res.StatusCode >= 200 && res.StatusCode <= 999:
+			return res, nil
+		case res.StatusCode < 100:
+			return nil, errStatus
+		case infos == mostInfos:
+			return nil, errMany
+		}
+		if x.req.Sink != nil && res.StatusCode != http.StatusContinue {
+			x.req.Sink.Info(res.StatusCode, res.Header)
+		}
+	}
+}
+
+// whole reads a body that is wanted whole.
+func (x *exchange) whole(res *http.Response, a *Answer, most int64) (err error) {
+	if res.ContentLength > most {
+		return errWhole
+	}
+	if res.ContentLength >= 0 {
+		a.Body = make([]byte, res.ContentLength)
+		_, err = io.ReadFull(res.Body, a.Body)
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+	} else if a.Body, err = io.ReadAll(io.LimitReader(res.Body, most+1)); err == nil && int64(len(a.Body)) > most {
+		return errWhole
+	}
+	a.Trailer = res.Trailer
+	return err
+}
+
+// some reads the beginning of a body of no known length; more: it goes on.
+func (x *exchange) some(res *http.Response, a *Answer, most int64) (more bool, err error) {
+	a.Body, err = io.ReadAll(io.LimitReader(res.Body, most+1))
+	if err == nil && int64(len(a.Body)) <= most {
+		a.Trailer, a.length = res.Trailer, int64(len(a.Body))
+		return false, nil
+	}
+	return true, err
+}
+
+// stream passes an answer on as it comes, if it may begin.
+func (x *exchange) stream(res *http.Response, a *Answer, out drive.Reply, end bool) (drive.Reply, bool) {
+	if !x.a.Begin() {
+		return reply(decision.Cancelled), false
+	}
+	a.Streamed = true
+	sink := x.req.Sink
+	sink.Head(a, a.length, x.a.Due)
+	room := rooms.Get().(*[]byte)
+	defer rooms.Put(room)
+	if x.c.br.Buffered() == 0 {
+		if err := sink.Write(nil, true); err != nil {
+			return reply(x.at.Result(webwire.ClientCut)), false
+		}
+	}
+	if len(a.Body) > 0 { // read already
+		if err := sink.Write(a.Body, false); err != nil {
+			return reply(x.at.Result(webwire.ClientCut)), false
+		}
+		a.Body = nil
+	}
+	left := res.ContentLength
+	for {
+		n, err := res.Body.Read(*room)
+		left -= int64(n)
+		if n > 0 {
+			wait := err == nil && left != 0 && x.c.br.Buffered() == 0
+			if err := sink.Write((*room)[:n], wait); err != nil {
+				return reply(x.at.Result(webwire.ClientCut)), false
+			}
+		}
+		switch {
+		case err == io.EOF:
+			a.Trailer = res.Trailer
+			sink.Trailer(res.Trailer)
+			return out, end
+		case err != nil:
+			return x.failed(err), false
+		}
+	}
+}
+
+// failed is an attempt without an answer.
+func (x *exchange) failed(err error) drive.Reply {
+	x.at.Heard = x.c.heard
+	result := x.at.Result(x.why(err))
+	x.b.faultLog.Do(func() {
+		x.b.config.Log.Debug("an attempt without an answer", "service", x.b.config.Service, "addr", x.c.host, "result", int(result), "err", err)
+	})
+	return reply(result)
+}
--- /dev/null
+++ b/internal/webback/webback.go
@@ -0,0 +1,261 @@
+// Package webback makes attempts at the backends of one service over ordinary HTTP/1.1, with TLS or without: each once and never again by
+// itself, over a bounded number of connections, with an outcome that claims no more than what was seen proves (internal/webwire has the
+// table). An answer that is short, and whose length is told, is held until it is whole, so that one that is cut can be made up for; others
+// are passed on as they come, once the core lets them begin. It decides nothing. webback.go keeps who the backends are and their connections,
+// attempt.go is one attempt, conn.go one connection.
+package webback
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/connpool"
+	"pumicecroft/internal/core"
+	"pumicecroft/internal/drive"
+	"pumicecroft/internal/netlook"
+	"pumicecroft/internal/readings"
+	"pumicecroft/membership"
+)
+
+// Config says how a service's backends are reached. What is 0 takes the default.
+type Config struct {
+	Service  string        // its name
+	Conns    int           // connections to all of its backends together; 256
+	Connect  time.Duration // a connection that is not up by then, handshake and all, counts as failed; 250 ms, with TLS 1 s
+	Idle     time.Duration // a backend may close a connection that was idle for this long; 15 s
+	Hold     int           // bytes up to which an answer of known length is held until it is whole; 64 KiB. Below 0: none is
+	MaxHead  int           // bytes of an answer's head, 1xx answers ahead of it among it; 64 KiB
+	MaxError int           // bytes of an error's body that are kept for the client in case it is the last word; 64 KiB. A longer one is passed on as it comes
+	// TLS is what the connections are made with; nil: they are plain. Its ServerName, where it is empty, is the host of the backend's address.
+	TLS *tls.Config
+	// HostOf rewrites Host for a backend at an address; nil: it goes on as in the request.
+	HostOf func(addr string) string
+	Log    *slog.Logger
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the system's
+}
+
+// rest is how long a connection rests after an answer: what comes right behind it has mostly come by then.
+const rest = 50 * time.Microsecond
+
+// Protocol is what a service's backends are said to speak in a membership.Node.
+func Protocol(service string) string { return "web/" + service }
+
+// Backends makes attempts at the backends that it was told of. It is a drive.Carrier and safe for concurrent use.
+type Backends struct {
+	config   Config
+	faultLog rate.Sometimes
+	readings readings.Reader
+
+	mu    sync.Mutex
+	byID  map[decision.BackendID]*backend
+	pool  *connpool.Pool
+	start time.Time // of the pool's clock
+	sweep *time.Timer
+}
+
+type backend struct {
+	state decision.BackendState
+	place *connpool.Place
+}
+
+var _ drive.Backends = (*Backends)(nil)
+
+// New knows no backends yet.
+func New(c Config) *Backends {
+	positive := func(v *int, is int) {
+		if *v <= 0 {
+			*v = is
+		}
+	}
+	positive(&c.Conns, 256)
+	positive(&c.MaxHead, 64<<10)
+	positive(&c.MaxError, 64<<10)
+	if c.Hold == 0 {
+		c.Hold = 64 << 10
+	}
+	if c.Connect <= 0 {
+		c.Connect = 250 * time.Millisecond
+		if c.TLS != nil {
+			c.Connect = time.Second
+		}
+	}
+	if c.Idle <= 0 {
+		c.Idle = 15 * time.Second
+	}
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	if c.TLS != nil {
+		c.TLS = c.TLS.Clone()
+		c.TLS.NextProtos = []string{"http/1.1"}
+		if c.TLS.ClientSessionCache == nil {
+			c.TLS.ClientSessionCache = tls.NewLRUClientSessionCache(4 * c.Conns)
+		}
+	}
+	return &Backends{config: c, faultLog: rate.Sometimes{First: 10, Interval: time.Second}, byID: map[decision.BackendID]*backend{},
+		pool: connpool.New(connpool.Limits{Most: c.Conns, IdleFor: c.Idle * 6 / 10, Rest: rest}), start: time.Now()}
+}
+
+// Apply takes in what has changed about backends. It holds for every attempt that begins after it returns.
+func (b *Backends) Apply(changes []membership.Change) {
+	b.mu.Lock()
+	defer b.unlock()
+	for _, c := range changes {
+		be := b.byID[c.ID]
+		if be != nil && (c.State == decision.Gone || c.Moved) {
+			b.pool.Clear(be.place)
+			delete(b.byID, c.ID)
+			be = nil
+		}
+		if c.State == decision.Gone {
+			continue
+		}
+		if be == nil {
+			be = &backend{place: &connpool.Place{Addr: c.Addr}}
+			b.byID[c.ID] = be
+		}
+		be.state = c.State
+	}
+}
+
+// Close lets go of all connections. Attempts that are out end by themselves.
+func (b *Backends) Close() {
+	b.mu.Lock()
+	defer b.unlock()
+	b.pool.End()
+	clear(b.byID)
+	if b.sweep != nil {
+		b.sweep.Stop()
+	}
+}
+
+// Conns is how many connections there are: idle, in use or coming up.
+func (b *Backends) Conns() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pool.Count()
+}
+
+// Probe tells nothing: ordinary backends have no load reports.
+func (b *Backends) Probe(id decision.BackendID, _ time.Duration) decision.ProbeResult {
+	return decision.ProbeResult{Backend: id, Result: decision.NotSent}
+}
+
+// unlock closes what the pool has let go of, arms the next sweep and unlocks.
+func (b *Backends) unlock() {
+	closes := b.pool.Closes()
+	if at, ok := b.pool.Next(); ok && b.sweep == nil {
+		b.sweep = time.AfterFunc(at-time.Since(b.start), b.sweepNow)
+	}
+	b.mu.Unlock()
+	for _, c := range closes {
+		c.Owner.(*conn).close()
+	}
+}
+
+func (b *Backends) sweepNow() {
+	b.mu.Lock()
+	defer b.unlock()
+	b.sweep = nil
+	b.pool.Sweep(time.Since(b.start))
+}
+
+// conn gives a connection to a backend for an attempt's use, or the result of an attempt that gets none. fresh: not a kept one.
+func (b *Backends) conn(a *drive.Attempt, fresh bool) (*conn, decision.Result) {
+	for {
+		b.mu.Lock()
+		be := b.byID[a.Backend]
+		if be == nil || be.state != decision.Ready {
+			b.mu.Unlock()
+			return nil, decision.NotSent
+		}
+		place := be.place
+		kept, err := b.pool.Take(time.Since(b.start), place, fresh)
+		b.unlock()
+		switch {
+		case err != nil:
+			return nil, decision.NotSent
+		case kept == nil:
+			return b.dial(a, place)
+		}
+		c := kept.Owner.(*conn)
+		if c.look.Look() == netlook.Clean {
+			return c, 0
+		}
+		b.drop(c)
+	}
+}
+
+// dial brings a connection up.
+func (b *Backends) dial(a *drive.Attempt, place *connpool.Place) (*conn, decision.Result) {
+	ctx, cancel := context.WithTimeout(context.Background(), b.config.Connect)
+	defer cancel()
+	give := func(r decision.Result) (*conn, decision.Result) {
+		b.mu.Lock()
+		b.pool.Release()
+		b.unlock()
+		return nil, r
+	}
+	if a.Wait(cancel) != nil {
+		return give(decision.NotSent)
+	}
+	nc, err := b.config.Dial(ctx, "tcp", place.Addr)
+	raw := nc
+	if err == nil && b.config.TLS != nil {
+		nc, err = b.handshake(ctx, nc, place.Addr)
+	}
+	if err != nil {
+		if off := a.Wait(nil); off != nil {
+			return give(decision.NotSent)
+		}
+		b.faultLog.Do(func() {
+			b.config.Log.Debug("a backend that can't be connected to", "service", b.config.Service, "addr", place.Addr, "err", err)
+		})
+		return give(decision.NoConnection)
+	}
+	c := newConn(nc, raw)
+	c.host = place.Addr
+	b.mu.Lock()
+	c.pooled = b.pool.Opened(place, c)
+	b.unlock()
+	return c, 0
+}
+
+// handshake makes a connection one of TLS. It closes it on an error.
+func (b *Backends) handshake(ctx context.Context, nc net.Conn, addr string) (net.Conn, error) {
+	config := b.config.TLS
+	if config.ServerName == "" {
+		config = config.Clone()
+		config.ServerName, _, _ = net.SplitHostPort(addr)
+	}
+	t := tls.Client(nc, config)
+	if err := t.HandshakeContext(ctx); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
+func (b *Backends) keep(c *conn) {
+	b.mu.Lock()
+	defer b.unlock()
+	b.pool.Put(time.Since(b.start), c.pooled)
+}
+
+func (b *Backends) drop(c *conn) {
+	b.mu.Lock()
+	defer b.unlock()
+	b.pool.Drop(c.pooled)
+}
+
+func reply(r decision.Result) drive.Reply { return drive.Reply{Outcome: core.Outcome{Result: r}} }
--- /dev/null
+++ b/internal/webwire/request.go
@@ -0,0 +1,102 @@
+package webwire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// Request is a client's request as it goes on to a backend, with each attempt. It is not changed once it is made.
+type Request struct {
+	Method string
+	Target string // path and query as they came
+	Host   string
+	Fields []byte // as Onward.Append made them
+	// LeftIn is the field that tells a backend how long its client still waits, in seconds; empty: none does.
+	LeftIn  string
+	Body    []byte
+	Trailer Header // goes behind the body, which is then sent in chunks
+}
+
+// CheckTarget tells whether a target can stand in a request line as it is: the path of an origin, without a fragment.
+func CheckTarget(target string) error {
+	if !strings.HasPrefix(target, "/") || strings.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r == 0x7f || r == '#' }) {
+		return fmt.Errorf("%w: %.60q", ErrTarget, target)
+	}
+	return nil
+}
+
+// Check tells what of a request can't stand on the wire as it is. The error is an ErrTarget or ErrField.
+func (r *Request) Check() error {
+	switch {
+	case r.Method == "" || !httpguts.ValidHeaderFieldName(r.Method):
+		return fmt.Errorf("%w: the method %.20q", ErrField, r.Method)
+	case !httpguts.ValidHostHeader(r.Host) || strings.ContainsAny(r.Host, "/?#@\\"):
+		return fmt.Errorf("%w: the host %.40q", ErrField, r.Host)
+	}
+	for name, values := range r.Trailer {
+		for _, v := range values {
+			if _, err := field(nil, name, v); err != nil {
+				return err
+			}
+		}
+	}
+	return CheckTarget(r.Target)
+}
+
+// AppendHead appends the head of one attempt; left is the time that its client still waits.
+func (r *Request) AppendHead(b []byte, left time.Duration) []byte {
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	b = append(b, r.Fields...)
+	if r.LeftIn != "" {
+		b = append(b, r.LeftIn...)
+		b = append(b, ": "...)
+		b = strconv.AppendFloat(b, left.Seconds(), 'f', 3, 64)
+		b = append(b, "\r\n"...)
+	}
+	switch {
+	case len(r.Trailer) > 0:
+		b = append(b, "Transfer-Encoding: chunked\r\nTrailer: "...)
+		first := true
+		for name := range r.Trailer {
+			if !first {
+				b = append(b, ", "...)
+			}
+			b, first = append(b, name...), false
+		}
+		b = append(b, "\r\n"...)
+	case len(r.Body) > 0 || r.Method == "POST" || r.Method == "PUT" || r.Method == "PATCH":
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// AppendBody appends what stands behind the head.
+func (r *Request) AppendBody(b []byte) []byte {
+	if len(r.Trailer) == 0 {
+		return append(b, r.Body...)
+	}
+	if len(r.Body) > 0 {
+		b = strconv.AppendInt(b, int64(len(r.Body)), 16)
+		b = append(b, "\r\n"...)
+		b = append(b, r.Body...)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "0\r\n"...)
+	for name, values := range r.Trailer {
+		for _, v := range values {
+			b, _ = field(b, name, v) // Check has looked
+		}
+	}
+	return append(b, "\r\n"...)
+}
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"iter"
 	"slices"
 	"strings"
 )
@@ -289,6 +290,20 @@
 	}
 }
 
+// Rules are all of the table's routes, in no order.
+func (t *Table[T]) Rules() iter.Seq[*Rule[T]] {
+	return func(yield func(*Rule[T]) bool) {
+		more := true
+		t.each(func(n *node[T]) {
+			for _, list := range [][]*compiled[T]{n.rules, n.rest} {
+				for _, c := range list {
+					more = more && yield(&c.Rule)
+				}
+			}
+		})
+	}
+}
+
 // Match finds the route that a request takes. The error is an ErrNone, ErrMethod, ErrPath or ErrHost.
 func (t *Table[T]) Match(r *Request) (Match[T], error) {
 	host, err := cleanHost(r.Host)
--- /dev/null
+++ b/webfront/sink.go
@@ -0,0 +1,152 @@
+package webfront
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"pumicecroft/internal/webback"
+	"pumicecroft/internal/webwire"
+)
+
+// sink passes an answer on as it comes. An attempt may outlive its request by a little; nothing is written then.
+type sink struct {
+	w http.ResponseWriter
+
+	mu     sync.Mutex
+	begun  bool
+	ended  bool // the answer is whole
+	closed bool
+}
+
+var errClosed = errors.New("the request has ended")
+
+// writeGrace is how long past the attempt's end a client may take its answer.
+const writeGrace = time.Second
+
+// Info passes on a 1xx answer.
+func (s *sink) Info(status int, h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.begun {
+		return
+	}
+	own := s.w.Header()
+	kept := own.Clone()
+	webwire.Back(own, h)
+	s.w.WriteHeader(status)
+	clear(own)
+	for name, v := range kept {
+		own[name] = v
+	}
+}
+
+// Head begins the answer.
+func (s *sink) Head(a *webback.Answer, length int64, due time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.begun = true
+	// A client that does not read is not waited for beyond the attempt's end. A writer that the host has wrapped may not let the deadline be
+	// set; then the host's own must do.
+	_ = http.NewResponseController(s.w).SetWriteDeadline(due.Add(writeGrace))
+	head(s.w, a)
+	s.w.WriteHeader(a.Status)
+}
+
+// Write passes on a part of the body.
+func (s *sink) Write(p []byte, flush bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errClosed
+	}
+	if len(p) > 0 {
+		if _, err := s.w.Write(p); err != nil {
+			return err
+		}
+	}
+	if flush {
+		return http.NewResponseController(s.w).Flush()
+	}
+	return nil
+}
+
+// Trailer ends the answer.
+func (s *sink) Trailer(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.ended = true
+		trail(s.w, h)
+		_ = http.NewResponseController(s.w).SetWriteDeadline(time.Time{})
+	}
+}
+
+func (s *sink) began() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun
+}
+
+func (s *sink) whole() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
+// close lets nothing more be written. What is being written is waited for, and ends by its deadline.
+func (s *sink) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+}
+
+// head puts an answer's fields into the client's.
+func head(w http.ResponseWriter, a *webback.Answer) {
+	h := w.Header()
+	closing := h["Connection"]
+	webwire.Back(h, a.Header)
+	if closing != nil {
+		h["Connection"] = closing
+	}
+	if _, told := h["Content-Type"]; !told {
+		h["Content-Type"] = nil // none is guessed
+	}
+	if len(a.Trailer) > 0 {
+		var names []string
+		for name := range a.Trailer {
+			names = append(names, name)
+		}
+		h["Trailer"] = []string{strings.Join(names, ", ")}
+	}
+}
+
+// trail puts the fields behind the body.
+func trail(w http.ResponseWriter, trailer http.Header) {
+	h := w.Header()
+	announced := strings.Join(h["Trailer"], ", ")
+	for name, values := range trailer {
+		if !strings.Contains(", "+announced+", ", ", "+name+", ") {
+			name = http.TrailerPrefix + name
+		}
+		h[name] = values
+	}
+}
+
+// write writes an answer that is whole.
+func write(w http.ResponseWriter, a *webback.Answer) {
+	head(w, a)
+	w.WriteHeader(a.Status)
+	if len(a.Body) > 0 {
+		_, _ = w.Write(a.Body) // if it fails, the connection is closed: the client sees a cut answer
+	}
+	if len(a.Trailer) > 0 {
+		_ = http.NewResponseController(w).Flush() // else the server tells a length, and no trailers go with one
+		trail(w, a.Trailer)
+	}
+}
