Ordinary HTTP is a front of the rule suite, as a daemon and in a host's server

Need: the five rules hold on every front, shown by one suite. Change: two fronts more, with operator's files that make ordinary HTTP what the platform's dialect is; [http] strict; a backend's own refusal that does not say when to come back is given the door's advice. Seen to fail before: refused without a word on when to come back (turned away, one backend). Of the transcript these two differ by a backend's own 500, which is passed on, and by the statuses of what can't be read (401, 404).

--- a/conformance/conformance.go
+++ b/conformance/conformance.go
@@ -37,6 +37,8 @@
 	Start func(t testing.TB, config string) Front
 	// GRPC says that its clients and backends speak gRPC. The cases are the same; what is asked goes as DoGRPC has it.
 	GRPC bool
+	// Own says that a backend's own error is passed on, and that what cannot be read has statuses of the front's own.
+	Own bool
 	// Keys says that it recognises idempotency keys. The cases are the same but for ids that come again.
 	Keys bool
 }
--- a/conformance/fronts_test.go
+++ b/conformance/fronts_test.go
@@ -210,6 +210,8 @@
 	"daemon":              {Start: startProcess},
 	"daemon with Consul":  {Start: daemonWithConsul},
 	"library with Consul": {Start: libraryWithConsul},
+	"daemon with HTTP":    {Start: daemonWithHTTP, Own: true},
+	"ordinary HTTP":       {Start: ordinaryHTTP, Own: true},
 	"daemon with gRPC":    {Start: daemonWithGRPC, GRPC: true},
 	"gRPC":                {Start: overGRPC, GRPC: true},
 	"library with keys":   withKeys(func(d *pumicecroft.Door) http.Handler { return d }),
@@ -269,6 +271,9 @@
 		if fronts[name].Keys { // ids that come again have answers of their own there, which the case looks at
 			want = without(want, "replays")
 		}
+		if fronts[name].Own {
+			want, got = without(want, "malformed"), strings.ReplaceAll(without(got, "malformed"), "failed 500", "failed 502")
+		}
 		if got != want {
 			t.Errorf("%s differs from the daemon:\n%s", name, diff(want, got))
 		}
--- /dev/null
+++ b/conformance/web_test.go
@@ -0,0 +1,117 @@
+package conformance
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"pumicecroft"
+	"pumicecroft/internal/daemon"
+	"pumicecroft/internal/platform"
+	"pumicecroft/internal/webload"
+	"pumicecroft/membership"
+	"pumicecroft/webfront"
+)
+
+// webFile is an operator's file by which ordinary HTTP is what the platform's dialect is.
+func webFile(c platform.Config) string {
+	var b strings.Builder
+	b.WriteString(fileBut(c, ""))
+	fmt.Fprintf(&b, "[[service]]\nname = \"desk\"\nbackend_connections = %d\nconnect_timeout = %q\nidle_timeout = %q\n", c.Limits.BackendConns(), c.Conns.Connect, c.Conns.Idle)
+	fmt.Fprintf(&b, "[discovery]\naddress = %q\nservice = \"desk\"\n", c.Discovery)
+	b.WriteString(`[http]
+trusted = ["127.0.0.1"]
+timeout_header = "Request-Timeout"
+left_header = "Request-Timeout"
+id_header = "Request-Id"
+strict = true
+[[identity]]
+kind = "header"
+customer = "X-Api-Key"
+plan_header = "X-Tier"
+units_header = "X-Call-Terms"
+hex = true
+[[route]]
+refuse = 400
+`)
+	for _, k := range c.Settings.Classes {
+		method := "POST"
+		if k.Effect == 0 {
+			method = "GET"
+		}
+		fmt.Fprintf(&b, "[[route]]\npath = \"/%[1]s\"\nmethods = [%[2]q]\nheaders = [\"Request-Class=%[1]s\"]\nservice = \"desk\"\nclass = %[1]q\nmax_body = %[3]d\n", k.Name, method, pumicecroft.MaxBody)
+	}
+	return b.String()
+}
+
+// daemonWithHTTP is the daemon by an operator's file, for ordinary HTTP.
+func daemonWithHTTP(t testing.TB, config string) Front {
+	t.Helper()
+	c, err := platform.ParseConfig([]byte(config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "pumicecroft.toml")
+	if err := os.WriteFile(path, []byte(webFile(c)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := startAs(t, "PUMICECROFT_BY_FILE="+path)
+	var names []string
+	for _, n := range c.Known.Members().Nodes {
+		names = append(names, n.Name)
+	}
+	slices.Sort(names)
+	knowsAll(t, names, func() ([]pumicecroft.Member, error) { return daemon.AskMembers(t.Context(), p.members) })
+	return p
+}
+
+// ordinaryHTTP is a webfront.Front in a host's server in this process.
+func ordinaryHTTP(t testing.TB, config string) Front {
+	t.Helper()
+	c, err := platform.ParseConfig([]byte(config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := parseFile(webFile(c))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dc := f.Door
+	dc.Known = c.Known.Members()
+	for i := range dc.Known.Nodes {
+		dc.Known.Nodes[i].Protocol = webfront.Protocol("desk")
+	}
+	s, err := webload.Service(f.Web.Services[0], os.ReadFile, slog.Default())
+	if err != nil {
+		t.Fatal(err)
+	}
+	door, err := pumicecroft.New(dc, webfront.WithService(s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	follow(t, door, c, webfront.Protocol("desk"))
+	fc := f.Web.Front
+	if fc.Rules, err = webload.Rules(&f, os.ReadFile); err != nil {
+		t.Fatal(err)
+	}
+	front, err := webfront.New(door, fc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return host(t, door, front)
+}
+
+// follow has a door's list follow discovery, with what its backends speak.
+func follow(t testing.TB, door *pumicecroft.Door, c platform.Config, protocol string) {
+	d := platform.Discovery{Addr: c.Discovery, From: c.Known.Seq}
+	go d.Run(t.Context(), func(l membership.List) {
+		for i := range l.Nodes {
+			l.Nodes[i].Protocol = protocol
+		}
+		door.Update(l)
+	})
+}
--- a/identity/keys.go
+++ b/identity/keys.go
@@ -9,24 +9,9 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"strconv"
 	"strings"
 )
 
-// errHex is a number that is none.
-var errHex = errors.New("no number of 16 hex digits")
-
-func hexNumber(s string) (uint64, error) {
-	if len(s) != 16 {
-		return 0, errHex
-	}
-	n, err := strconv.ParseUint(s, 16, 64)
-	if err != nil {
-		return 0, errHex
-	}
-	return n, nil
-}
-
 // Key is an API key that is known by its hash alone.
 type Key struct {
 	Hash     [sha256.Size]byte // SHA-256 of the key. Keys are random, of 128 bits or more: a slow hash would protect weak ones, at a cost per request
--- a/internal/operator/web.go
+++ b/internal/operator/web.go
@@ -227,7 +227,7 @@
 		d.bad(s.path, "via", "%q is no pseudonym that Via can hold", c.Via)
 	}
 	c.TimeoutIn, c.LeftIn, c.IDIn, c.KeyIn = field("timeout_header", ""), field("left_header", ""), field("id_header", "X-Request-Id"), field("key_header", "Idempotency-Key")
-	c.UniqueIDs = s.yes("unique_ids", false)
+	c.Strict = s.yes("strict", false)
 	c.BodyTimeout = s.duration("body_timeout", 10*time.Second, time.Millisecond, time.Hour)
 	c.BodyMemory = int64(s.whole("body_memory", 64<<20, 1, 1<<40))
 	c.MostKeyed = s.whole("most_keyed_answer", 1<<20, 1, 1<<30)
--- a/webfront/final.go
+++ b/webfront/final.go
@@ -114,6 +114,17 @@
 	return out
 }
 
+// advise says when to come back; 0: it does not.
+func (f *Front) advise(h http.Header, after time.Duration) {
+	switch {
+	case after <= 0:
+	case f.config.Strict:
+		h["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
+	default:
+		h["Retry-After"] = []string{strconv.FormatFloat(math.Ceil(after.Seconds()), 'f', 0, 64)}
+	}
+}
+
 // refuse answers a request by the door's own word.
 func (f *Front) refuse(w http.ResponseWriter, r *http.Request, p *Plan, err error) {
 	x := f.final(p, err)
@@ -128,9 +139,7 @@
 	if x.status == http.StatusUnauthorized { // RFC 9110, 15.5.2
 		h["Www-Authenticate"] = []string{`Bearer realm="` + f.config.Via + `"`}
 	}
-	if x.after > 0 {
-		h["Retry-After"] = []string{strconv.FormatFloat(math.Ceil(x.after.Seconds()), 'f', 0, 64)}
-	}
+	f.advise(h, x.after)
 	if plan := f.plans[p.Who.Plan]; plan != nil && plan.Rate > 0 { // draft-ietf-httpapi-ratelimit-headers
 		h["Ratelimit-Policy"] = []string{fmt.Sprintf("%q;q=%d;w=%d", plan.Name, int64(plan.Burst), int64(math.Ceil(plan.Burst/plan.Rate)))}
 		if x.status == http.StatusTooManyRequests {
--- a/webfront/serve.go
+++ b/webfront/serve.go
@@ -196,7 +196,11 @@
 	case answer != nil && (err == nil || errors.Is(err, pumicecroft.ErrFailed)): // a backend's own error too
 		write(w, answer)
 	case err != nil && load.Refusal() != nil && errors.Is(err, pumicecroft.ErrRefused):
-		write(w, load.Refusal())
+		a := load.Refusal()
+		if refused, ok := errors.AsType[*pumicecroft.RefusedError](err); ok && len(a.Header["Retry-After"]) == 0 {
+			f.advise(w.Header(), refused.RetryAfter)
+		}
+		write(w, a)
 	case errors.Is(err, context.DeadlineExceeded) && r.Context().Err() != nil:
 		pumicecroft.GiveWay(w) // the host's time-out
 	default:
@@ -216,13 +220,16 @@
 		return nil, req, fmt.Errorf("%w: %s", errShape, name)
 	}
 	h := r.Header
-	if f.config.TimeoutIn != "" && len(h[f.config.TimeoutIn]) > 0 {
+	if f.config.TimeoutIn != "" && (len(h[f.config.TimeoutIn]) > 0 || f.config.Strict) {
 		d, ok := timeout(h[f.config.TimeoutIn])
 		if !ok {
 			return bad(f.config.TimeoutIn)
 		}
 		req.Timeout = min(req.Timeout, d)
 	}
+	if p.Who.Units == "" && p.Who.Trusted && f.config.Strict {
+		return bad("units")
+	}
 	if p.Who.Units != "" {
 		if strings.Contains(p.Who.Units, "=") {
 			t, ok := terms.Parse(p.Who.Units, &f.set)
@@ -243,7 +250,7 @@
 	}
 	var add []string
 	switch ids := h[f.config.IDIn]; {
-	case f.config.UniqueIDs:
+	case f.config.Strict:
 		if len(ids) != 1 {
 			return bad(f.config.IDIn)
 		}
--- a/webfront/webfront.go
+++ b/webfront/webfront.go
@@ -116,10 +116,11 @@
 	// TimeoutIn is a field in which clients may say how long they wait, in seconds or as "250ms"; empty: none is looked at. LeftIn is one in
 	// which backends are told how long that still is, in seconds.
 	TimeoutIn, LeftIn string
-	// IDIn is the field of a request's id, which is made where the client brings none; X-Request-Id. UniqueIDs says that clients' ids are 16
-	// hex digits, new with each try: one that comes again is then a replay.
-	IDIn      string
-	UniqueIDs bool
+	// IDIn is the field of a request's id, which is made where the client brings none; X-Request-Id.
+	IDIn string
+	// Strict says that clients are the platform's: each request brings an id of 16 hex digits, new with each try, so that one that comes again
+	// is a replay; it brings its time, and a trusted peer its units; and Retry-After may have decimals.
+	Strict    bool
 	KeyIn     string // the field of the idempotency key; Idempotency-Key
 	MostKeyed int    // bytes of an answer to a request with a key, which is held whole; 1 MiB
 	Log       *slog.Logger
