Exchanges through the front are those through ReverseProxy, by generated ones

Need: a faithful proxy is shown against one that everyone knows. Change: a property test with httputil.ReverseProxy as the oracle. What it found is mended: a backend's own error was replaced by the door's refusal where a repeat is harmless; it is the answer now if the last attempt ended with it.

--- a/internal/webback/attempt.go
+++ b/internal/webback/attempt.go
@@ -28,8 +28,8 @@
 	// Digest tells it apart from others of its key; nil: it has none.
 	Digest [][]byte
 
-	mu      sync.Mutex
-	refusal *Answer
+	mu   sync.Mutex
+	last *Answer
 }
 
 // Sink takes an answer that is passed on as it comes. Head, Write and Trailer are called by one attempt only, as the core allows one to
@@ -82,11 +82,17 @@
 	return a, nil
 }
 
-// Refusal is the last answer by which a backend refused the request, or nil.
-func (r *Request) Refusal() *Answer {
+// Last is the answer by which a backend refused the request or failed at it, if the last attempt ended with one; else nil.
+func (r *Request) Last() *Answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.refusal
+	return r.last
+}
+
+func (r *Request) setLast(a *Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = a
 }
 
 // Why an answer can't be passed on.
@@ -111,6 +117,9 @@
 // Carry makes an attempt. One that is answered, with an error too, gives an *Answer.
 func (b *Backends) Carry(a *drive.Attempt) drive.Reply {
 	req := a.Load.(*Request)
+	if req.Last() != nil {
+		req.setLast(nil)
+	}
 	c, result := b.conn(a, false)
 	for {
 		if c == nil {
@@ -273,11 +282,8 @@
 	switch {
 	case err != nil:
 		return x.failed(err), false
-	case result == decision.Refused:
-		x.req.mu.Lock()
-		x.req.refusal = a
-		x.req.mu.Unlock()
-		out.Body = nil
+	case result != decision.Answered:
+		x.req.setLast(a)
 	}
 	return out, end
 }
--- /dev/null
+++ b/webfront/oracle_test.go
@@ -0,0 +1,255 @@
+package webfront_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"maps"
+	"net/http"
+	"net/http/httptrace"
+	"net/http/httputil"
+	"net/textproto"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// What differs from httputil.ReverseProxy by intent, as it arrives at a backend.
+var differs = map[string]string{
+	"Via":          "a gateway must say that it was there (RFC 9110, 7.6.3)",
+	"X-Request-Id": "made where the client brings none",
+	"Connection":   "TE goes on with the Connection that it needs (RFC 9110, 10.1.4)",
+}
+
+// exchange is what is asked and answered.
+type exchange struct {
+	method, target string
+	fields         http.Header
+	body           []byte
+	chunked        bool
+	trailer        http.Header
+
+	status      int
+	infos       []int
+	answer      http.Header
+	answerBody  []byte
+	answerChunk bool
+	after       http.Header
+}
+
+// seen is what arrived, or what came back.
+type seen struct {
+	line    string
+	fields  http.Header
+	body    string
+	trailer http.Header
+	infos   []string
+}
+
+func (s seen) String() string {
+	return fmt.Sprintf("%s\n%v\n%d bytes %.60q\ntrailer %v\ninfos %v", s.line, s.fields, len(s.body), s.body, s.trailer, s.infos)
+}
+
+var names = []string{"X-A", "X-B", "Accept", "Cookie", "X-Empty", "Authorization", "Forwarded", "X-Forwarded-For", "Keep-Alive", "Proxy-Authorization", "Upgrade"}
+
+func drawFields(t *rapid.T, label string, from []string) http.Header {
+	h := http.Header{}
+	for range rapid.IntRange(0, 4).Draw(t, label) {
+		name := rapid.SampledFrom(from).Draw(t, "name")
+		h[name] = append(h[name], rapid.StringMatching(`([!-~]([ -~]{0,20}[!-~])?)?`).Draw(t, "value"))
+	}
+	return h
+}
+
+func draw(t *rapid.T) *exchange {
+	x := &exchange{fields: drawFields(t, "fields", names), answer: drawFields(t, "answer", []string{"X-C", "Set-Cookie", "Content-Type", "Etag", "Retry-After", "Keep-Alive", "Warning"})}
+	if x.answer["Content-Type"] == nil { // behind ReverseProxy the server guesses one
+		x.answer["Content-Type"] = []string{"text/x"}
+	}
+	x.method = rapid.SampledFrom([]string{"GET", "GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "PATCH", "PURGE"}).Draw(t, "method")
+	for range rapid.IntRange(1, 4).Draw(t, "segments") {
+		x.target += "/" + rapid.StringMatching(`([a-zA-Z0-9~!$&'()*+,;=:@_-]|%2F|%20|%C3%A9|%7e){0,6}`).Draw(t, "segment")
+	}
+	x.target += rapid.StringMatching(`(\?[a-z0-9=&;%+/?]{0,12})?`).Draw(t, "query")
+	if x.target == "/" || strings.HasPrefix(x.target, "//") {
+		x.target = "/r" + x.target
+	}
+	if strings.Contains(x.target, "?") { // ReverseProxy drops what it can't parse of a query, which we leave as it is
+		_, q, _ := strings.Cut(x.target, "?")
+		if _, err := url.ParseQuery(q); err != nil {
+			x.target, _, _ = strings.Cut(x.target, "?")
+		}
+	}
+	if nominate := rapid.SampledFrom([]string{"", "", "X-A", "x-b, close-not", "X-A,Accept"}).Draw(t, "nominated"); nominate != "" {
+		x.fields["Connection"] = []string{nominate}
+	}
+	if rapid.IntRange(0, 4).Draw(t, "te") == 0 {
+		x.fields["Te"] = []string{"trailers"}
+	}
+	size := rapid.SampledFrom([]int{0, 0, 1, 100, 5000, 70_000}).Draw(t, "body")
+	if x.method != "GET" && x.method != "HEAD" && x.method != "OPTIONS" && x.method != "PURGE" && x.method != "DELETE" {
+		x.body = bytes.Repeat([]byte("b"), size)
+		x.chunked = rapid.Bool().Draw(t, "chunked")
+		if x.chunked && rapid.Bool().Draw(t, "with trailer") {
+			x.trailer = http.Header{"X-Sum": {"7"}, "X-More": {"a, b"}}
+		}
+	}
+	x.status = rapid.SampledFrom([]int{200, 200, 201, 204, 206, 301, 304, 400, 404, 409, 418, 429, 500, 501, 502, 503, 599, 799}).Draw(t, "status")
+	if rapid.IntRange(0, 5).Draw(t, "info") == 0 {
+		x.infos = []int{103}
+	}
+	if x.status != 204 && x.status != 304 {
+		x.answerBody = bytes.Repeat([]byte("a"), rapid.SampledFrom([]int{0, 1, 300, 5000, 100_000}).Draw(t, "answer body"))
+		x.answerChunk = rapid.Bool().Draw(t, "answer chunked")
+		if x.answerChunk && x.method != "HEAD" && rapid.Bool().Draw(t, "answer trailer") {
+			x.after = http.Header{"X-Check": {"9"}}
+		}
+	}
+	return x
+}
+
+// echo is a backend that answers as it is told, and notes what arrived.
+type echo struct {
+	mu  sync.Mutex
+	x   *exchange
+	got []seen
+}
+
+func (e *echo) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	body, _ := io.ReadAll(r.Body)
+	e.got = append(e.got, seen{line: r.Method + " " + r.RequestURI + " " + r.Host, fields: r.Header, body: string(body), trailer: r.Trailer})
+	x := e.x
+	for _, status := range x.infos {
+		w.Header()["Link"] = []string{"</s.css>"}
+		w.WriteHeader(status)
+		delete(w.Header(), "Link")
+	}
+	h := w.Header()
+	h["Date"] = []string{"Tue, 01 Dec 2026 00:00:00 GMT"}
+	maps.Copy(h, x.answer)
+	for name := range x.after {
+		h.Add("Trailer", name)
+	}
+	if !x.answerChunk && x.status != 204 && x.status != 304 {
+		h["Content-Length"] = []string{fmt.Sprint(len(x.answerBody))}
+	}
+	w.WriteHeader(x.status)
+	if x.answerChunk {
+		w.(http.Flusher).Flush()
+	}
+	w.Write(x.answerBody)
+	maps.Copy(h, x.after)
+}
+
+// ask makes an exchange by way of an address.
+func ask(x *exchange, rt http.RoundTripper, addr string) (seen, error) {
+	var s seen
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+		s.infos = append(s.infos, fmt.Sprint(code, http.Header(h)))
+		return nil
+	}})
+	req := (&http.Request{Method: x.method, URL: &url.URL{Scheme: "http", Host: addr, Opaque: x.target}, Host: "shop.example", Header: x.fields.Clone(), Trailer: x.trailer.Clone()}).WithContext(ctx)
+	if _, told := req.Header["User-Agent"]; !told {
+		req.Header["User-Agent"] = []string{"test"}
+	}
+	if len(x.body) > 0 || x.chunked {
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(x.body)), int64(len(x.body))
+		if x.chunked {
+			req.ContentLength = -1
+			req.TransferEncoding = []string{"chunked"}
+		}
+	}
+	res, err := rt.RoundTrip(req)
+	if err != nil {
+		return s, err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	s.line, s.fields, s.body, s.trailer = fmt.Sprint(res.StatusCode, " ", res.ContentLength), res.Header, string(body), res.Trailer
+	return s, err
+}
+
+// Exchanges through the front arrive and come back as through httputil.ReverseProxy, but for what differs by intent.
+func TestAsReverseProxyDoes(t *testing.T) {
+	e := &echo{}
+	backend := serve(t, e, nil)
+	r := start(t, service("shop", backend)+"aim = \"4ms\"\n[http]\ntrusted = [\"127.0.0.1\"]\n") // it is believed what came before it, as ReverseProxy is told to
+	proxy := &httputil.ReverseProxy{ErrorLog: log.New(io.Discard, "", 0), Transport: &http.Transport{DisableCompression: true},
+		Rewrite: func(p *httputil.ProxyRequest) {
+			p.Out.URL.Scheme, p.Out.URL.Host = "http", backend
+			p.Out.Header["X-Forwarded-For"] = p.In.Header["X-Forwarded-For"]
+			p.SetXForwarded()
+			p.Out.Host = p.In.Host
+		}}
+	other := serve(t, proxy, nil)
+	client := &http.Transport{DisableCompression: true}
+	t.Cleanup(client.CloseIdleConnections)
+	rapid.Check(t, func(rt *rapid.T) {
+		x := draw(rt)
+		through := func(addr string) (arrived, back seen) {
+			e.mu.Lock()
+			e.x, e.got = x, nil
+			e.mu.Unlock()
+			back, err := ask(x, client, addr)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if err != nil || len(e.got) == 0 {
+				rt.Fatalf("%s: %v, %d arrived, answered %v", addr, err, len(e.got), back)
+			}
+			return e.got[len(e.got)-1], back
+		}
+		wantAt, want := through(other)
+		gotAt, got := through(r.addr)
+		for name := range differs {
+			delete(wantAt.fields, name)
+			delete(gotAt.fields, name)
+		}
+		normal := func(h http.Header) http.Header {
+			h = h.Clone()
+			for name, vs := range h {
+				if name == "X-Forwarded-For" { // ReverseProxy keeps an empty beginning
+					h[name] = []string{strings.TrimLeft(strings.Join(vs, ", "), ", ")}
+				}
+				if name == "Trailer" {
+					slices.Sort(vs)
+				}
+			}
+			delete(h, "Forwarded") // ReverseProxy's Rewrite drops it, and we do; a style of ours writes it
+			return h
+		}
+		wantAt.trailer = x.trailer // ReverseProxy loses the values
+		if x.chunked { // a body that is held whole goes on with its length
+			delete(gotAt.fields, "Content-Length")
+		}
+		wantAt.fields, gotAt.fields = normal(wantAt.fields), normal(gotAt.fields)
+		if a, b := wantAt.String(), gotAt.String(); a != b {
+			rt.Errorf("arrived through ReverseProxy:\n%s\nthrough the front:\n%s", a, b)
+		}
+		if x.answerChunk { // and so does an answer
+			want.line, got.line = want.line[:3], got.line[:3]
+			delete(got.fields, "Content-Length")
+			delete(want.fields, "Content-Length")
+		}
+		if len(want.infos) > 0 { // a request that is tried again has its 1xx answers again
+			got.infos = got.infos[:min(1, len(got.infos))]
+		}
+		if len(got.fields["Connection"]) > 0 || x.chunked { // what came in chunks may have had another length: its connection ends
+			delete(got.fields, "Connection")
+		}
+		if x.status == 429 || x.status == 503 {
+			delete(got.fields, "Retry-After") // given where the backend gave none
+			delete(want.fields, "Retry-After")
+		}
+		if a, b := want.String(), got.String(); a != b {
+			rt.Errorf("came back through ReverseProxy:\n%s\nthrough the front:\n%s", a, b)
+		}
+	})
+}
--- /dev/null
+++ b/webfront/rig_test.go
@@ -0,0 +1,125 @@
+package webfront_test
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/internal/operator"
+	"pumicecroft/internal/webload"
+	"pumicecroft/membership"
+	"pumicecroft/webfront"
+)
+
+// rig is a front by an operator's file, in a server, before backends.
+type rig struct {
+	t     testing.TB
+	file  operator.File
+	door  *pumicecroft.Door
+	front *webfront.Front
+	addr  string
+	tls   *tls.Config
+}
+
+// parse reads a file's text, less "listen".
+func parse(t testing.TB, text string) operator.File {
+	t.Helper()
+	f, err := operator.Parse([]byte("listen = \"127.0.0.1:0\"\n" + text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// start serves by a file's text.
+func start(t testing.TB, text string, options ...pumicecroft.Option) *rig {
+	t.Helper()
+	r := &rig{t: t, file: parse(t, text)}
+	for _, s := range r.file.Web.Services {
+		c, err := webload.Service(s, os.ReadFile, slog.Default())
+		if err != nil {
+			t.Fatal(err)
+		}
+		options = append(options, webfront.WithService(c))
+	}
+	var err error
+	if r.door, err = pumicecroft.New(r.file.Door, append(options, pumicecroft.WithSource(list{r.file}))...); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		if err := r.door.Close(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	c := r.file.Web.Front
+	c.Rules = r.rules(r.file)
+	if r.front, err = webfront.New(r.door, c); err != nil {
+		t.Fatal(err)
+	}
+	r.addr = serve(t, r.front, nil)
+	return r
+}
+
+func (r *rig) rules(f operator.File) webfront.Rules {
+	r.t.Helper()
+	rules, err := webload.Rules(&f, os.ReadFile)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return rules
+}
+
+// serve serves a handler on a port of the system's.
+func serve(t testing.TB, h http.Handler, config *tls.Config) string {
+	t.Helper()
+	s := httptest.NewUnstartedServer(h)
+	s.Config.ErrorLog = log.New(io.Discard, "", 0)
+	s.Config.MaxHeaderBytes = 128 << 10
+	if s.TLS = config; config != nil {
+		s.EnableHTTP2 = true
+		s.StartTLS()
+	} else {
+		s.Start()
+	}
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(strings.TrimPrefix(s.URL, "http://"), "https://")
+}
+
+// raw sends bytes and gives all that comes back until the connection ends or nothing comes for a while.
+func raw(t testing.TB, addr, text string, patience time.Duration) string {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	go io.WriteString(c, text)
+	c.SetReadDeadline(time.Now().Add(patience))
+	b, _ := io.ReadAll(c)
+	return string(b)
+}
+
+type list struct{ f operator.File }
+
+func (l list) Run(_ context.Context, update func(membership.List)) { update(l.f.Backends) }
+
+func service(name string, addrs ...string) string {
+	quoted := make([]string, len(addrs))
+	for i, a := range addrs {
+		quoted[i] = fmt.Sprintf("%q", a)
+	}
+	return fmt.Sprintf("[[service]]\nname = %q\nbackends = [%s]\n", name, strings.Join(quoted, ", "))
+}
--- a/webfront/serve.go
+++ b/webfront/serve.go
@@ -195,10 +195,10 @@
 		}
 	case answer != nil && (err == nil || errors.Is(err, pumicecroft.ErrFailed)): // a backend's own error too
 		write(w, answer)
-	case err != nil && load.Refusal() != nil && errors.Is(err, pumicecroft.ErrRefused):
-		a := load.Refusal()
-		if refused, ok := errors.AsType[*pumicecroft.RefusedError](err); ok && len(a.Header["Retry-After"]) == 0 {
-			f.advise(w.Header(), refused.RetryAfter)
+	case err != nil && load.Last() != nil && errors.Is(err, pumicecroft.ErrRefused): // a backend's own word, that the door has nothing better for
+		a := load.Last()
+		if refused, ok := errors.AsType[*pumicecroft.RefusedError](err); ok && (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests) {
+			f.advise(w.Header(), refused.RetryAfter) // the backend's own advice takes its place
 		}
 		write(w, a)
 	case errors.Is(err, context.DeadlineExceeded) && r.Context().Err() != nil:
