--- /dev/null
+++ b/webfront/hostile_test.go
@@ -0,0 +1,176 @@
+package webfront_test
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/test/bufconn"
+
+	"pumicecroft"
+	"pumicecroft/webfront"
+)
+
+var (
+	heads = flag.Int("heads", 3000, "hostile heads that TestHostileHeads sends")
+	seed  = flag.Uint64("seed", 1, "that they are made of")
+)
+
+// hostile makes a head whose framing can be read in two ways, or that is bad in a place or two, with a second request behind it that belongs to
+// its body by one reading at least: no backend may see that one. Where only one reading is left, the request is part of the body by it.
+func hostile(rng *rand.Rand) string {
+	any := func(from ...string) string { return from[rng.IntN(len(from))] }
+	pick := func(usual string, from ...string) string { // mostly the usual, so that most heads are bad in few places
+		if rng.IntN(6) > 0 {
+			return usual
+		}
+		return any(from...)
+	}
+	const smuggled = "GET /smuggled HTTP/1.1\r\nHost: x\r\nX-A: b\r\n\r\n"
+	body := any("0\r\n\r\n"+smuggled, "5\r\nhello\r\n0\r\n\r\n"+smuggled, fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(smuggled), smuggled), "0\r\nX: y\r\n\r\n"+smuggled,
+		"0;ext=\"\r\n\r\n"+smuggled, "00000000000000000000\r\n\r\n"+smuggled, "0\n\n"+smuggled, "-1\r\n"+smuggled, "0x0\r\n\r\n"+smuggled)
+	mutate := rng.IntN(5) == 0
+	whole := fmt.Sprint("Content-Length: ", len(body))
+	chunked := pick("Transfer-Encoding: chunked", "transfer-encoding:chunked", "Transfer-Encoding:\tchunked", "Transfer-Encoding : chunked", "Transfer-Encoding: xchunked", "Transfer-Encoding: chunked, identity",
+		"Transfer-Encoding: identity, chunked", "Transfer-Encoding: \"chunked\"", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+		"X: y\rTransfer-Encoding: chunked", "X: y\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\x00", "Transfer\x00-Encoding: chunked", "Transfer-Encoding: CHUNKED", "Transfer-Encoding:\x0bchunked")
+	var fields []string
+	switch rng.IntN(4) {
+	case 0:
+		fields = []string{whole}
+	case 1:
+		fields = []string{chunked}
+	default:
+		length := any("0", "1", "5", fmt.Sprint(len(body)-len(smuggled)), "+3", "-1", "0x5", "5, 5", "5,6", "", " ", "99999999999999999999", "1e1", "٣", fmt.Sprint(len(body)))
+		if mutate { // the coding's field may be another by it, and the length alone be right
+			length = fmt.Sprint(len(body))
+		}
+		fields = []string{"Content-Length: " + length, chunked}
+		if rng.IntN(4) == 0 && !mutate {
+			fields = append(fields, "Content-Length: "+any("0", "7"))
+		}
+	}
+	if rng.IntN(2) == 0 {
+		fields = append(fields, any("Host: y", "Connection: close", "Connection: Content-Length, Transfer-Encoding", "Expect: 100-continue", "Upgrade: h2c", "X-"+strings.Repeat("n", rng.IntN(300))+": v",
+			": novalue", "novalue", "\tfold: x", "X-Forwarded-For: ::", "Via: x", "Te: trailers, chunked", "Trailer: Content-Length", "Content-Encoding: gzip", "X: \xff\xfe", "Idempotency-Key: "+strings.Repeat("k", rng.IntN(3000))))
+	}
+	rng.Shuffle(len(fields), func(i, j int) { fields[i], fields[j] = fields[j], fields[i] })
+	line := pick("POST", "GET", "PUT", "P\x00ST", "post", "", "POST ", "PRI") + pick(" ", "  ", "\t") + pick("/", "/a%00b", "*", "/\x7f", "//", "http://x/", "/a b", "/..;/x", "/%", "\\", "/"+strings.Repeat("a", rng.IntN(2000))) +
+		pick(" HTTP/1.1", " HTTP/1.0", " HTTP/2.0", " HTTP/0.9", "", " HTTP/1.1 ", " http/1.1") + pick("\r\n", "\n", "\r")
+	head := line + "Host: x\r\n" + strings.Join(fields, "\r\n") + "\r\n\r\n"
+	if mutate && !(len(fields) == 1 && fields[0] == whole) {
+		b := []byte(head)
+		b[rng.IntN(len(b)-2)] = byte(rng.IntN(256))
+		head = string(b)
+	}
+	return head + body
+}
+
+// addressed gives connections in memory an address, as who asks is told by it.
+type addressed struct{ net.Listener }
+
+type addressedConn struct{ net.Conn }
+
+func (l addressed) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return addressedConn{c}, err
+}
+
+func (addressedConn) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
+
+// However a head is made, there is an answer or an end in bounded time, and no request is smuggled to a backend.
+//
+//	go test ./webfront -run HostileHeads -heads 1000000 -seed 7 -timeout 30m
+func TestHostileHeads(t *testing.T) {
+	var smuggled, arrived atomic.Int64
+	backends := bufconn.Listen(64 << 10)
+	var mu sync.Mutex
+	var from string
+	bs := &http.Server{ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived.Add(1)
+		if strings.Contains(r.RequestURI, "smuggled") {
+			smuggled.Add(1)
+			mu.Lock()
+			from = fmt.Sprint(r.Header)
+			mu.Unlock()
+		}
+		io.Copy(io.Discard, r.Body)
+	})}
+	go bs.Serve(backends)
+	defer bs.Close()
+	dial := func(ctx context.Context, _, _ string) (net.Conn, error) { return backends.DialContext(ctx) }
+	f := parse(t, service("shop", "127.0.0.1:1")+"deadline = \"2s\"\n")
+	door, err := pumicecroft.New(f.Door, webfront.WithService(webfront.ServiceConfig{Name: "shop", Dial: dial}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer door.Close(context.Background())
+	door.Update(f.Backends)
+	front, err := webfront.New(door, webfront.Config{Rules: (&rig{t: t}).rules(f), BodyTimeout: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients := bufconn.Listen(64 << 10)
+	fs := &http.Server{Handler: front, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: 100 * time.Millisecond, IdleTimeout: 100 * time.Millisecond}
+	go fs.Serve(addressed{clients})
+	defer fs.Close()
+	t.Logf("seed %d", *seed)
+	var next, answered, closed atomic.Int64
+	var slowest atomic.Int64
+	var ran sync.WaitGroup
+	for range 32 {
+		ran.Go(func() {
+			for {
+				i := next.Add(1)
+				if i > int64(*heads) || t.Failed() {
+					return
+				}
+				text := hostile(rand.New(rand.NewPCG(*seed, uint64(i))))
+				before, begun := smuggled.Load(), time.Now()
+				c, err := clients.Dial()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				go func() {
+					io.WriteString(c, text)
+				}()
+				c.SetReadDeadline(time.Now().Add(10 * time.Second))
+				all, err := io.ReadAll(bufio.NewReader(c))
+				c.Close()
+				if err != nil && strings.Contains(err.Error(), "timeout") {
+					t.Errorf("head %d: neither answered nor ended in 10 s:\n%q", i, text)
+				}
+				if len(all) > 0 {
+					answered.Add(1)
+				} else {
+					closed.Add(1)
+				}
+				if took := int64(time.Since(begun)); took > slowest.Load() {
+					slowest.Store(took)
+				}
+				if smuggled.Load() > before && strings.Count(string(all), "HTTP/1.1 ") > 1 {
+					mu.Lock()
+					t.Errorf("head %d: smuggled (%s):\n%q\n%q", i, from, text, all)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	ran.Wait()
+	t.Logf("%d heads: %d answered, %d ended without, %d requests at the backend, slowest %v", *heads, answered.Load(), closed.Load(), arrived.Load(), time.Duration(slowest.Load()))
+	if arrived.Load() < int64(*heads)/20 || smuggled.Load() > 0 || door.Open() > 0 {
+		t.Errorf("%d arrived, %d of them smuggled, %d are open", arrived.Load(), smuggled.Load(), door.Open())
+	}
+}
--- a/webfront/oracle_test.go
+++ b/webfront/oracle_test.go
@@ -226,7 +226,7 @@
 			return h
 		}
 		wantAt.trailer = x.trailer // ReverseProxy loses the values
-		if x.chunked { // a body that is held whole goes on with its length
+		if x.chunked {             // a body that is held whole goes on with its length
 			delete(gotAt.fields, "Content-Length")
 		}
 		wantAt.fields, gotAt.fields = normal(wantAt.fields), normal(gotAt.fields)
--- a/webfront/serve.go
+++ b/webfront/serve.go
@@ -190,6 +190,7 @@
 	switch {
 	case out != nil && out.began():
 		if !out.whole() { // it was cut: the client must see that
+			_ = out.Write(nil, true) // what there is of it
 			out.close()
 			panic(http.ErrAbortHandler)
 		}
