--- /dev/null
+++ b/cmd/pumicecroft/routes.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"pumicecroft/internal/daemon"
+	"pumicecroft/internal/operator"
+	"pumicecroft/webfront"
+)
+
+// routesArgs are those of "pumicecroft routes".
+type routesArgs struct {
+	File   string   `arg:"" help:"An operator's file."`
+	Method string   `arg:"" help:"The request's method, such as GET."`
+	URL    string   `arg:"" help:"Its URL, such as http://shop.example/items/7, or a path."`
+	Header []string `short:"H" sep:"none" placeholder:"NAME: VALUE" help:"A field that it brings. May be repeated."`
+	From   string   `default:"127.0.0.1" help:"The address that it comes from."`
+}
+
+// showRoute prints what would become of a request, and why. Nothing is sent.
+func showRoute(args []string, out io.Writer) error {
+	var a routesArgs
+	ended := false
+	parser, err := kong.New(&a, kong.Name("pumicecroft routes"), kong.Description("What would become of a request, and why. Nothing is sent."), kong.Writers(out, out), kong.Exit(func(int) { ended = true }))
+	if err != nil {
+		return err
+	}
+	if _, err := parser.Parse(args); ended {
+		return nil
+	} else if err != nil {
+		return err
+	}
+	f, err := readFile([]string{a.File})
+	if err != nil {
+		return err
+	}
+	if f.Web == nil {
+		return fmt.Errorf("%s: it has no [[service]], and so no routes", a.File)
+	}
+	r, err := request(&a)
+	if err != nil {
+		return err
+	}
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	front, end, err := daemon.FrontOf(f)
+	if err != nil {
+		return fmt.Errorf("%s:\n%w", a.File, err)
+	}
+	defer end()
+	tell(out, &f, front.Settle(r, time.Now()), front)
+	return nil
+}
+
+// request is the one that the arguments tell of.
+func request(a *routesArgs) (*http.Request, error) {
+	text := a.URL
+	if strings.HasPrefix(text, "/") {
+		text = "http://localhost" + text
+	}
+	u, err := url.Parse(text)
+	if err != nil || u.Host == "" {
+		return nil, fmt.Errorf("%q is neither a path nor a URL with a host", a.URL)
+	}
+	_, rest, _ := strings.Cut(text, "://")
+	target := "/"
+	if i := strings.IndexByte(rest, '/'); i >= 0 {
+		target = rest[i:] // as it is written
+	}
+	r := &http.Request{Method: a.Method, Host: u.Host, RequestURI: target, Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, RemoteAddr: a.From + ":1"}
+	if strings.Contains(a.From, ":") {
+		r.RemoteAddr = "[" + a.From + "]:1"
+	}
+	path, query, _ := strings.Cut(target, "?")
+	r.URL = &url.URL{Path: path, RawQuery: query}
+	for _, h := range a.Header {
+		name, value, ok := strings.Cut(h, ":")
+		if !ok {
+			return nil, fmt.Errorf("%q is no field: NAME: VALUE", h)
+		}
+		r.Header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+	}
+	return r, nil
+}
+
+// tell prints a plan.
+func tell(out io.Writer, f *operator.File, p webfront.Plan, front *webfront.Front) {
+	line := func(name, format string, args ...any) {
+		fmt.Fprintf(out, "%-9s %s\n", name, printable(fmt.Sprintf(format, args...)))
+	}
+	if p.Rule != nil {
+		line("route", "%s (line %d)", p.Rule.Name, p.Rule.Line)
+		for _, v := range p.Params {
+			line("", "%s = %q", v.Name, v.Value)
+		}
+	}
+	if p.Who.Rule != "" {
+		line("who", "%s, by %s, plan %s", p.Who.Name, p.Who.Rule, p.Who.Plan)
+	}
+	if p.Err != nil {
+		status, why := front.Refusal(p)
+		line("refused", "%d: %s", status, why)
+		return
+	}
+	line("service", "%s", p.Rule.To.Service)
+	line("class", "%s: %s", p.Class, [...]string{"safe to repeat", "keyed: repeated where backends drop repeats", "never repeated once it may have run"}[p.Effect])
+	for _, c := range f.Door.Settings.Classes {
+		if c.Name == p.Class {
+			deadline := c.Deadline
+			if t := p.Rule.To.Timeout; t > 0 {
+				deadline = min(deadline, t)
+			}
+			line("deadline", "%v", deadline)
+		}
+	}
+	units := p.Rule.To.Units
+	if units == 0 {
+		units = 1
+	}
+	line("units", "%v", units)
+}
+
--- a/webfront/final.go
+++ b/webfront/final.go
@@ -114,6 +114,15 @@
 	return out
 }
 
+// Refusal tells the status by which a request is refused that goes no further, and why.
+func (f *Front) Refusal(p Plan) (status int, why string) {
+	x := f.final(&p, p.Err)
+	if x.detail != "" {
+		return x.status, x.detail
+	}
+	return x.status, x.title
+}
+
 // advise says when to come back; 0: it does not.
 func (f *Front) advise(h http.Header, after time.Duration) {
 	switch {
