Peers that nobody here wrote, SIGHUP, check and routes: the daemon's ordinary HTTP by tests

Need: curl and Node's client and server as peers; a reload while a request waits; errors of named files with key and line. Change: tests of the program; the daemon listens once what its file lists is known, as the first clients were refused before.

--- a/cmd/pumicecroft/routes.go
+++ b/cmd/pumicecroft/routes.go
@@ -126,4 +126,3 @@
 	}
 	line("units", "%v", units)
 }
-
--- /dev/null
+++ b/cmd/pumicecroft/web_test.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"pumicecroft/internal/testcerts"
+)
+
+const tenLines = `listen = "127.0.0.1:0"
+members = "127.0.0.1:0"
+
+[[service]]
+name = "shop"
+backends = [%q]
+
+[[plan]]
+name = "everyone"
+rate = 100000
+burst = 100000
+`
+
+// curl and Node's client and server, which nobody here wrote, through the daemon by a file of ten lines.
+func TestPeers(t *testing.T) {
+	node, err := exec.LookPath("node")
+	if err != nil {
+		t.Skip("there is no node")
+	}
+	curl, err := exec.LookPath("curl")
+	if err != nil {
+		t.Skip("there is no curl")
+	}
+	server := exec.Command(node, "-e", `
+const s = require('http').createServer((q, r) => {
+  const parts = []
+  q.on('data', d => parts.push(d)); q.on('end', () => {
+    if (q.url.startsWith('/chunks')) { r.setHeader('Trailer', 'X-End'); r.write('one '); setTimeout(() => { r.write('two'); r.addTrailers({'X-End': 'yes'}); r.end() }, 20); return }
+    if (q.url.startsWith('/hints')) { r.writeEarlyHints({link: '</a.css>; rel=preload'}) }
+    r.statusCode = q.url.startsWith('/none') ? 204 : 201
+    r.setHeader('X-Saw', q.method + ' ' + q.url + ' ' + (q.headers['x-a'] || ''))
+    r.end(q.url.startsWith('/none') ? '' : Buffer.concat(parts))
+  })
+})
+s.listen(0, '127.0.0.1', () => console.log(s.address().port))`)
+	out, err := server.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { server.Process.Kill(); server.Wait() })
+	var port int
+	if _, err := fmt.Fscan(out, &port); err != nil {
+		t.Fatal(err)
+	}
+	_, addr, _ := serving(t, file(t, fmt.Sprintf(tenLines, fmt.Sprintf("127.0.0.1:%d", port))))
+	run := func(name string, args ...string) string {
+		var b bytes.Buffer
+		c := exec.CommandContext(t.Context(), name, args...)
+		c.Stdout, c.Stderr = &b, &b
+		if err := c.Run(); err != nil {
+			t.Errorf("%s: %v\n%s", args, err, b.String())
+		}
+		return b.String()
+	}
+	base := "http://" + addr
+	large := filepath.Join(t.TempDir(), "large")
+	if err := os.WriteFile(large, bytes.Repeat([]byte("0123456789abcdef"), 50_000), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		want []string
+	}{
+		{[]string{"-si", "-H", "X-A: b", base + "/items/7%2F8?q=2"}, []string{"HTTP/1.1 201 ", "X-Saw: GET /items/7%2F8?q=2 b"}},
+		{[]string{"-sI", base + "/x"}, []string{"HTTP/1.1 201 ", "X-Saw: HEAD /x"}},
+		{[]string{"-si", "-X", "DELETE", base + "/none"}, []string{"HTTP/1.1 204 "}},
+		{[]string{"-si", "-d", "a=1", base + "/x"}, []string{"201 ", "a=1"}},
+		{[]string{"-si", "-H", "Expect: 100-continue", "-T", large, base + "/x"}, []string{"HTTP/1.1 100 ", "201 ", "89abcdef"}},
+		{[]string{"-si", "-H", "Transfer-Encoding: chunked", "-d", "a=1", base + "/x"}, []string{"201 ", "a=1"}},
+		{[]string{"-si", "--raw", base + "/chunks"}, []string{"chunked", "one ", "two", "X-End: yes"}},
+		{[]string{"-si", base + "/hints"}, []string{"HTTP/1.1 103 ", "201 "}},
+		{[]string{"-si", "--http2-prior-knowledge", base + "/x"}, []string{"HTTP/2 201"}},
+	} {
+		got := run(curl, c.args...)
+		for _, want := range c.want {
+			if !strings.Contains(strings.ToLower(got), strings.ToLower(want)) {
+				t.Errorf("curl %s: no %q in\n%.600s", c.args, want, got)
+			}
+		}
+	}
+	got := run(node, "-e", `
+const http = require('http'), agent = new http.Agent({keepAlive: true})
+let left = 50
+function next() {
+  if (left-- === 0) { console.log('all'); process.exit(0) }
+  const q = http.request({host: '127.0.0.1', port: `+addr[strings.LastIndexByte(addr, ':')+1:]+`, path: '/p' + left, method: left % 2 ? 'PUT' : 'GET', agent}, r => {
+    let b = ''; r.on('data', d => b += d); r.on('end', () => { if (r.statusCode !== 201 || b !== (left % 2 ? 'body' : '')) { console.log(r.statusCode, b); process.exit(1) } next() })
+  })
+  if (left % 2) q.write('body')
+  q.end()
+}
+next()`)
+	if !strings.Contains(got, "all") {
+		t.Error(got)
+	}
+}
+
+// A SIGHUP puts other routes in force, a bad file none, and what waits goes on by the routes that it came by.
+func TestRoutesChangeBySIGHUP(t *testing.T) {
+	came, goOn := make(chan bool, 1), make(chan bool)
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/held" {
+			came <- true
+			<-goOn
+		}
+		io.WriteString(w, "ok")
+	}))
+	defer backend.Close()
+	text := fmt.Sprintf(tenLines, strings.TrimPrefix(backend.URL, "http://"))
+	path := file(t, text)
+	cmd, addr, _ := serving(t, path)
+	status := func(path string) int {
+		res, err := http.Get("http://" + addr + path)
+		if err != nil {
+			t.Error(err)
+			return 0
+		}
+		defer res.Body.Close()
+		io.Copy(io.Discard, res.Body)
+		return res.StatusCode
+	}
+	held := make(chan int)
+	go func() { held <- status("/held") }()
+	<-came
+	change := func(more string, want int) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text+more), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+		for end := time.Now().Add(20 * time.Second); status("/") != want; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("it never answered %d", want)
+			}
+		}
+	}
+	change("[[route]]\nrefuse = 403\n", 403)
+	if err := os.WriteFile(path, []byte(text+"[[route]]\nservice = \"none\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP)
+	change("[[route]]\nrefuse = 410\n", 410) // the bad one in between has changed nothing, and ended nothing
+	goOn <- true
+	if got := <-held; got != 200 {
+		t.Errorf("what waited got %d", got)
+	}
+}
+
+// check reads what a file names, and says what is wrong with it and where.
+func TestCheckReadsFiles(t *testing.T) {
+	a := testcerts.New(t)
+	dir := t.TempDir()
+	cert, key := a.Pair(nil, "shop.example", "unused.example")
+	_, otherKey := a.Pair(nil, "else.example")
+	at := testcerts.Write(t, dir, map[string][]byte{"c": cert, "k": key, "other": otherKey, "keys": []byte("zz\n")})
+	base := fmt.Sprintf(tenLines, "127.0.0.1:9") + "[[route]]\nhost = \"shop.example\"\n[[route]]\nhost = \"bare.example\"\n[tls]\n"
+	pair := func(c, k string) string {
+		return fmt.Sprintf("[[tls.certificate]]\ncert_file = %q\nkey_file = %q\n", at(c), at(k))
+	}
+	for name, c := range map[string]struct{ more, want string }{
+		"good":            {pair("c", "k"), `no certificate is for host "bare.example"`},
+		"unused":          {pair("c", "k"), `a certificate is for "unused.example", which no route uses`},
+		"another's key":   {pair("c", "other"), "line 17: tls.certificate[0].cert_file: the key is not the certificate's"},
+		"no file":         {pair("c", "none"), "line 17: tls.certificate[0].cert_file: open "},
+		"no certificate":  {pair("k", "k"), "line 17: tls.certificate[0].cert_file: it can't be read"},
+		"a file of keys":  {pair("c", "k") + fmt.Sprintf("[[identity]]\nkind = \"key\"\nfile = %q\n", at("keys")), "line 20: identity[0].file: " + at("keys") + ": line 1: "},
+		"without a place": {"", "line 16: tls.certificate: there is none"},
+	} {
+		var out bytes.Buffer
+		err := check([]string{file(t, base+c.more)}, &out)
+		if got := out.String() + fmt.Sprint(err); !strings.Contains(got, c.want) {
+			t.Errorf("%s: %s", name, got)
+		}
+	}
+}
+
+// routes says what would become of a request.
+func TestShowRoute(t *testing.T) {
+	path := file(t, fmt.Sprintf(tenLines, "127.0.0.1:9")+`[http]
+trusted = ["10.0.0.0/8"]
+[[identity]]
+kind = "header"
+customer = "X-Customer"
+plan = "everyone"
+[[route]]
+name = "items"
+path = "/items/{id}"
+methods = ["GET", "POST"]
+units = 3
+timeout = "2s"
+`)
+	for _, c := range []struct{ args, want string }{
+		{"GET|/items/a%2Fb|-H|X-Customer: c|--from|10.1.1.1", "route     items (line 18)\n          id = \"a/b\"\nwho       c, by header 0, plan everyone\nservice   shop\nclass     shop: safe to repeat\ndeadline  2s\nunits     3\n"},
+		{"POST|http://x/items/7|-H|X-Customer: c|--from|10.1.1.1", "class     shop (once): never repeated once it may have run"},
+		{"GET|/items/7|-H|X-Customer: c", "refused   401: Nothing says who asks"},
+		{"PUT|/items/7", "refused   405: no route takes this method, but GET, POST"},
+		{"GET|/else", "refused   404: No route takes such a request"},
+		{"GET|/items/..", "refused   400: "},
+	} {
+		var out bytes.Buffer
+		if err := showRoute(append([]string{path}, strings.Split(c.args, "|")...), &out); err != nil || !strings.Contains(out.String(), c.want) {
+			t.Errorf("%s: %v\n%s", c.args, err, out.String())
+		}
+	}
+	if err := showRoute([]string{path, "GET"}, io.Discard); err == nil {
+		t.Error("without a URL it is no error")
+	}
+}
--- a/internal/daemon/file.go
+++ b/internal/daemon/file.go
@@ -21,9 +21,15 @@
 )
 
 // fixed is a source whose list does not change.
-type fixed struct{ list membership.List }
+type fixed struct {
+	list membership.List
+	told chan struct{} // closed when it has reported
+}
 
-func (f fixed) Run(_ context.Context, update func(membership.List)) { update(f.list) }
+func (f fixed) Run(_ context.Context, update func(membership.List)) {
+	update(f.list)
+	close(f.told)
+}
 
 // speaking is a source whose nodes speak what it does not say.
 type speaking struct {
@@ -43,8 +49,8 @@
 	})
 }
 
-// sources are a file's, by precedence, with Consul's client if there is one.
-func sources(f operator.File) (options []pumicecroft.Option, client *consul.Client, err error) {
+// sources are a file's, by precedence, with Consul's client if there is one; told is closed when what the file itself lists is known.
+func sources(f operator.File, told chan struct{}) (options []pumicecroft.Option, client *consul.Client, err error) {
 	for _, name := range f.Sources {
 		switch name {
 		case operator.SourceConsul:
@@ -59,7 +65,7 @@
 			options = append(options, pumicecroft.WithOrigin(membership.Origin{Name: name, Plain: true},
 				speaking{platform.Discovery{Addr: f.Discovery, From: platform.FromTheStart}, f.DiscoverySpeaks}))
 		case operator.SourceFile:
-			options = append(options, pumicecroft.WithOrigin(membership.Origin{Name: name, Plain: true}, fixed{f.Backends}))
+			options = append(options, pumicecroft.WithOrigin(membership.Origin{Name: name, Plain: true}, fixed{f.Backends, told}))
 		}
 	}
 	return options, client, nil
@@ -69,7 +75,8 @@
 // ends. At each value of hup it reads the file again, by again, and goes by the routes, the identities and the certificates that it names
 // then; nil: it does not. What else the file holds is for the next start.
 func ServeFile(ctx context.Context, f operator.File, again func() (operator.File, error), hup <-chan struct{}) error {
-	options, client, err := sources(f)
+	told := make(chan struct{})
+	options, client, err := sources(f, told)
 	if err != nil {
 		return err
 	}
@@ -89,6 +96,9 @@
 	if err != nil {
 		return err
 	}
+	if slices.Contains(f.Sources, operator.SourceFile) {
+		<-told // before the first client comes
+	}
 	serve := httpfront.NewServer(door, f.ClientConns, f.Door.Settings.LongestDeadline(), slog.Default(), httpfront.Options{}).Run
 	if w != nil {
 		if serve, err = w.front(door, f); err != nil {
--- /dev/null
+++ b/internal/webwire/webwire_test.go
@@ -0,0 +1,161 @@
+package webwire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pumicecroft/decision"
+
+	"pgregory.net/rapid"
+)
+
+// What the end of an attempt proves never claims more than was seen: what may have run is not called unrun, whatever the end.
+func TestProofs(t *testing.T) {
+	unrun := map[decision.Result]bool{decision.NotSent: true, decision.NoConnection: true, decision.Refused: true}
+	for _, why := range []Why{Ended, Spoilt, CalledOff, TimeUp, ClientCut} {
+		for wrote := range 4 {
+			p := Progress{Head: 2, Wrote: wrote}
+			if r := p.Result(why); unrun[r] && p.Ran() {
+				t.Errorf("%d after %d bytes: %d claims that it has not run", why, wrote, r)
+			} else if r == decision.Answered || r == decision.AnsweredErr {
+				t.Errorf("%d after %d bytes: answered", why, wrote)
+			}
+		}
+	}
+	if r := (Progress{Head: 2, Wrote: 1}).Result(Ended); r != decision.NoConnection {
+		t.Errorf("cut in its head: %d", r)
+	}
+}
+
+func TestStatuses(t *testing.T) {
+	own := &Statuses{Answered: []int{503}, Refused: []int{425}, Failed: []int{404}}
+	for _, c := range []struct {
+		s                 *Statuses
+		status            int
+		after, notStarted bool
+		want              decision.Result
+	}{
+		{&Statuses{}, 200, false, false, decision.Answered}, {&Statuses{}, 304, true, true, decision.Answered}, {&Statuses{}, 404, false, false, decision.Answered},
+		{&Statuses{}, 429, false, false, decision.Refused}, {&Statuses{}, 503, true, false, decision.Refused}, {&Statuses{}, 503, false, false, decision.AnsweredErr},
+		{&Statuses{}, 503, false, true, decision.Refused}, {&Statuses{}, 504, false, true, decision.Refused}, {&Statuses{}, 504, true, false, decision.AnsweredErr},
+		{&Statuses{}, 500, true, true, decision.AnsweredErr}, {&Statuses{}, 502, false, false, decision.AnsweredErr}, {&Statuses{}, 501, false, false, decision.Answered},
+		{own, 503, true, true, decision.Answered}, {own, 425, false, false, decision.Refused}, {own, 404, false, false, decision.AnsweredErr},
+	} {
+		if got := c.s.Result(c.status, c.after, c.notStarted); got != c.want {
+			t.Errorf("%d %v %v: %d, want %d", c.status, c.after, c.notStarted, got, c.want)
+		}
+	}
+	for _, s := range []Statuses{{Answered: []int{100}}, {Failed: []int{1000}}, {Answered: []int{500}, Failed: []int{500}}, {Refused: []int{429, 429}}} {
+		if s.Check() == nil {
+			t.Errorf("%+v is good", s)
+		}
+	}
+}
+
+// Whatever fields a request has, what goes on is one request that net/http reads as it was meant, and nothing that must end here goes on.
+func TestOnward(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.SampledFrom([]string{"Connection", "Keep-Alive", "Te", "Transfer-Encoding", "Upgrade", "Host", "Content-Length", "X-Secret", "X-Customer", "X-A", "X-B", "Via",
+			"X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto", "Forwarded", "Trailer", "Expect", "Proxy-Authorization", "X-Id", "Te\r\nX-Evil", "X Y", ""})
+		value := rapid.OneOf(rapid.SampledFrom([]string{"close", "X-A", "x-a, Via , X-Forwarded-For,X-Id", "trailers", "chunked", "0", "a\r\nX-Evil: 1", "a\nb", "\x00", ""}), rapid.StringMatching(`[ -~]{0,12}`))
+		h := Header{}
+		for range rapid.IntRange(0, 8).Draw(t, "fields") {
+			n := name.Draw(t, "name")
+			h[n] = append(h[n], value.Draw(t, "value"))
+		}
+		o := &Onward{Style: Style(rapid.IntRange(0, 2).Draw(t, "style")), Via: "door", MostVia: 3, Remove: []string{"X-Secret"}, Asserted: []string{"X-Customer"}}
+		from := Origin{Addr: rapid.SampledFrom([]string{"1.2.3.4", "::1"}).Draw(t, "addr"), Host: "shop.example", Trusted: rapid.Bool().Draw(t, "trusted"), Proto: "1.1"}
+		fields, err := o.Append(nil, h, from, "X-Id", "7")
+		if err != nil {
+			if !errors.Is(err, ErrField) && !errors.Is(err, ErrLoop) {
+				t.Fatal(err)
+			}
+			return
+		}
+		r := Request{Method: "POST", Target: "/a%2F?b=%zz", Host: "shop.example", Fields: fields, LeftIn: "X-Left", Body: rapid.SliceOfN(rapid.Byte(), 0, 50).Draw(t, "body")}
+		if rapid.Bool().Draw(t, "trailer") {
+			r.Trailer = Header{"X-Sum": {"1", "2"}}
+		}
+		if err := r.Check(); err != nil {
+			t.Fatal(err)
+		}
+		text := r.AppendBody(r.AppendHead(nil, 1500*time.Millisecond))
+		in := bufio.NewReader(bytes.NewReader(text))
+		got, err := http.ReadRequest(in)
+		if err != nil {
+			t.Fatalf("%v\n%q", err, text)
+		}
+		body, err := io.ReadAll(got.Body)
+		if err != nil || !bytes.Equal(body, r.Body) || in.Buffered() > 0 || got.RequestURI != r.Target || got.Method != r.Method || fmt.Sprint(got.Trailer["X-Sum"]) != fmt.Sprint(r.Trailer["X-Sum"]) {
+			t.Fatalf("%v %q of %q, %d behind it, %s %v", err, body, r.Body, in.Buffered(), got.RequestURI, got.Trailer)
+		}
+		for _, gone := range []string{"X-Secret", "X-Evil", "Keep-Alive", "Upgrade", "Expect", "Proxy-Authorization"} {
+			if got.Header[gone] != nil {
+				t.Fatalf("%s went on: %v", gone, got.Header)
+			}
+		}
+		if !from.Trusted && got.Header["X-Customer"] != nil {
+			t.Fatalf("an assertion went on")
+		}
+		if got.Header.Get("X-Id") != "7" || len(got.Header["X-Id"]) != 1 || got.Header.Get("X-Left") != "1.500" || !strings.HasSuffix(got.Header.Get("Via"), "1.1 door") {
+			t.Fatalf("%v", got.Header)
+		}
+		for _, n := range Nominated(h) {
+			if strings.HasPrefix(n, "X-A") && got.Header[n] != nil {
+				t.Fatalf("%s was nominated and went on", n)
+			}
+		}
+		told := strings.Join(got.Header["X-Forwarded-For"], ",")
+		if o.Style == XForwarded && !(told == from.Addr || from.Trusted && strings.HasSuffix(told, ", "+from.Addr)) || o.Style != XForwarded && told != "" {
+			t.Fatalf("X-Forwarded-For: %q", told)
+		}
+	})
+}
+
+func TestTargetsAndHosts(t *testing.T) {
+	for _, bad := range []Request{{Method: "GET", Target: "a"}, {Method: "GET", Target: "/a b"}, {Method: "GET", Target: "/a\r\n"}, {Method: "GET", Target: "/#"}, {Method: "G T", Target: "/"}, {Target: "/"},
+		{Method: "GET", Target: "/", Host: "a\r\nb"}, {Method: "GET", Target: "/", Host: "a/b"}, {Method: "GET", Target: "/", Host: "u@h"}, {Method: "GET", Target: "/", Trailer: Header{"A": {"\n"}}}} {
+		if bad.Check() == nil {
+			t.Errorf("%+v is good", bad)
+		}
+	}
+}
+
+// FuzzHeads: of any text that net/http takes for a request, what goes on is one request again, with the same target and body.
+func FuzzHeads(f *testing.F) {
+	f.Add([]byte("POST /a?b HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nConnection: X-A\r\nX-A: b\r\n\r\nok"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n2\r\nok\r\n0\r\nX: y\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n"))
+	f.Add([]byte("GET http://x/ HTTP/1.0\r\n fold\r\nTe: trailers\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(text)))
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		o := &Onward{Via: "door"}
+		fields, err := o.Append(nil, r.Header, Origin{Addr: "1.2.3.4", Host: r.Host, Proto: "1.1"})
+		m := Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Fields: fields, Body: body, Trailer: Trailers(r.Trailer)}
+		if err != nil || m.Check() != nil {
+			return
+		}
+		in := bufio.NewReader(bytes.NewReader(m.AppendBody(m.AppendHead(nil, 0))))
+		got, err := http.ReadRequest(in)
+		if err != nil {
+			t.Fatalf("%v: %q became %q", err, text, m.AppendHead(nil, 0))
+		}
+		again, err := io.ReadAll(got.Body)
+		if err != nil || !bytes.Equal(again, body) || in.Buffered() > 0 || got.RequestURI != r.RequestURI || got.Method != r.Method {
+			t.Fatalf("%v: %q became %q, %d behind it", err, text, again, in.Buffered())
+		}
+	})
+}
