--- a/internal/operator/reader.go
+++ b/internal/operator/reader.go
@@ -76,17 +76,20 @@
 			}
 			parts = append(parts, string(k.Node().Data))
 		}
-		name := strings.Join(parts, ".")
 		switch e.Kind {
-		case unstable.Table:
-			table = name
-			d.lines[table] = line
-		case unstable.ArrayTable:
-			table = fmt.Sprintf("%s[%d]", name, counts[name])
-			counts[name]++
+		case unstable.Table, unstable.ArrayTable: // what is below a list of tables is its last one's
+			table = ""
+			for i, part := range parts {
+				if table = join(table, part); e.Kind == unstable.ArrayTable && i == len(parts)-1 {
+					counts[table]++
+				}
+				if n := counts[table]; n > 0 {
+					table = fmt.Sprintf("%s[%d]", table, n-1)
+				}
+			}
 			d.lines[table] = line
 		case unstable.KeyValue:
-			d.lines[join(table, name)] = line
+			d.lines[join(table, strings.Join(parts, "."))] = line
 		}
 	}
 }
--- a/internal/operator/web.go
+++ b/internal/operator/web.go
@@ -134,6 +134,9 @@
 		names(d, seen, s, v.Name)
 		for _, addr := range s.texts("backends") {
 			checkAddress(d, s, "backends", addr)
+			if slices.ContainsFunc(f.Backends.Nodes, func(n membership.Node) bool { return n.Name == v.Name+"/"+addr }) {
+				d.bad(s.path, "backends", "%q is there twice", addr)
+			}
 			f.Backends.Nodes = append(f.Backends.Nodes, membership.Node{Name: v.Name + "/" + addr, Addr: addr, Weight: 1, Protocol: webfront.Protocol(v.Name)})
 		}
 		v.Conns = s.whole("backend_connections", 256, 1, many)
@@ -298,7 +301,7 @@
 			to.MaxBody = int64(s.whole("max_body", 1<<20, 0, 1<<40))
 			to.Statuses = webfront.Statuses{Answered: s.wholes("answered"), Refused: s.wholes("refused"), Failed: s.wholes("failed")}
 			if err := to.Statuses.Check(); err != nil {
-				d.bad(s.path, "", "%v", err)
+				d.bad(s.path, "failed", "%v", err)
 			}
 		}
 		s.done()
