One quota over services and protocols; a token that ends in mid-request

Need: one quota over two services and both protocols is to be shown, and that a token counts for a whole request. Change: tests. Result: 60 requests over two services and gRPC are served as many as over one; a token's end refuses the next request only.

--- a/conformance/web_test.go
+++ b/conformance/web_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -12,6 +13,7 @@
 	"pumicecroft"
 	"pumicecroft/internal/daemon"
 	"pumicecroft/internal/platform"
+	"pumicecroft/internal/standin"
 	"pumicecroft/internal/webload"
 	"pumicecroft/membership"
 	"pumicecroft/webfront"
@@ -115,3 +117,81 @@
 		door.Update(l)
 	})
 }
+
+// One customer that asks two services over HTTP and a third over gRPC has what it has of one of them.
+func TestOneQuotaOverServicesAndProtocols(t *testing.T) {
+	count := func(t *testing.T, ways ...string) (served int) {
+		r := newRig(t, Starter{})
+		r.backend(cell(0), nil)
+		beside := map[string]*standin.Backend{}
+		for _, name := range []string{"two", "grpc"} {
+			b, err := standin.StartBackend(standin.BackendConfig{Name: name, Ledger: r.ledger, GRPC: name == "grpc"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(b.Kill)
+			beside[name] = b
+		}
+		c, err := platform.ParseConfig([]byte(r.config(figures{plans: usualPlans + `,{"name":"tiny","units_per_s":0.001,"burst":16,"value_factor":1}`})))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := webFile(c) + fmt.Sprintf(`[[service]]
+name = "two"
+backends = [%q]
+[[route]]
+path = "/look"
+methods = ["GET"]
+headers = ["Request-Class=look", "X-Two=1"]
+service = "two"
+class = "look"
+[[backend]]
+name = "grpc"
+address = %q
+protocol = "grpc"
+[grpc]
+listen = "127.0.0.1:0"
+strict = true
+[[grpc.method]]
+name = "/%s/look"
+class = "look"
+`, beside["two"].Addr(), beside["grpc"].Addr(), standin.GRPCService)
+		path := filepath.Join(t.TempDir(), "pumicecroft.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p := startAs(t, "PUMICECROFT_BY_FILE="+path)
+		knowsAll(t, []string{"b0", "grpc", "two/" + beside["two"].Addr()}, func() ([]pumicecroft.Member, error) { return daemon.AskMembers(t.Context(), p.members) })
+		overGRPC := standin.GRPCTransport()
+		t.Cleanup(overGRPC.CloseIdleConnections)
+		for i := range 60 {
+			a := r.ask("look")
+			a.Plan = "tiny"
+			reply := standin.Reply{}
+			switch ways[i%len(ways)] {
+			case "two":
+				a.Header = http.Header{"X-Two": {"1"}}
+				fallthrough
+			case "one":
+				reply = a.Do(t.Context(), r.transport, p.Addr())
+			case "grpc":
+				reply = a.DoGRPC(t.Context(), overGRPC, p.grpc)
+			}
+			switch reply.String() {
+			case "served":
+				served++
+			case "refused":
+			default:
+				t.Errorf("%s: %v %v", ways[i%len(ways)], reply, reply.Err)
+			}
+		}
+		if n := len(r.ledger.Attempts()); n != served {
+			t.Errorf("%v: %d attempts, %d served", ways, n, served)
+		}
+		return served
+	}
+	alone, all := count(t, "one"), count(t, "one", "two", "grpc")
+	if alone == 0 || alone > 16 || all != alone {
+		t.Errorf("%d served of one service, %d of three", alone, all)
+	}
+}
--- a/webfront/front_test.go
+++ b/webfront/front_test.go
@@ -17,7 +17,10 @@
 	"testing"
 	"time"
 
+	"github.com/golang-jwt/jwt/v5"
+
 	"pumicecroft"
+	"pumicecroft/internal/testcerts"
 	"pumicecroft/webfront"
 )
 
@@ -542,3 +545,44 @@
 		t.Errorf("%d %q", w.Code, w.Body)
 	}
 }
+
+// A token counts for a whole request that came while it held, with its repeats; the next request is refused.
+func TestATokenThatEndsMeanwhile(t *testing.T) {
+	t.Parallel()
+	secret := strings.Repeat("s", 32)
+	path := testcerts.Write(t, t.TempDir(), map[string][]byte{"secret": []byte(secret)})
+	ends := time.Now().Truncate(time.Second).Add(2 * time.Second)
+	var n atomic.Int64
+	b := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.Add(1) == 1 {
+			time.Sleep(time.Until(ends.Add(100 * time.Millisecond)))
+			w.WriteHeader(500) // and it is made again, after the token's end
+		}
+	}), nil)
+	r := start(t, service("shop", b, strings.Replace(b, "127.0.0.1", "localhost", 1))+fmt.Sprintf(`
+[[identity]]
+kind = "token"
+algorithms = ["HS256"]
+secret_file = %q
+audience = "shop"
+plan = "p"
+[[plan]]
+name = "p"
+`, path("secret")))
+	text, err := jwt.NewWithClaims(jwt.SigningMethodHS256, jwt.MapClaims{"sub": "u", "aud": "shop", "exp": ends.Unix()}).SignedString([]byte(secret))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []int{200, 401} {
+		req, _ := http.NewRequest("GET", "http://"+r.addr+"/", nil)
+		req.Header.Set("Authorization", "Bearer "+text)
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if res.StatusCode != want || n.Load() != 2 {
+			t.Errorf("request %d: %d after %d attempts", i, res.StatusCode, n.Load())
+		}
+	}
+}
