--- a/internal/webwire/webwire_test.go
+++ b/internal/webwire/webwire_test.go
@@ -32,6 +32,9 @@
 	if r := (Progress{Head: 2, Wrote: 1}).Result(Ended); r != decision.NoConnection {
 		t.Errorf("cut in its head: %d", r)
 	}
+	if r := (Progress{Head: 2, Wrote: 2}).Result(Ended); r != decision.Broken {
+		t.Errorf("cut behind its head: %d", r)
+	}
 }
 
 func TestStatuses(t *testing.T) {
@@ -70,6 +73,9 @@
 			n := name.Draw(t, "name")
 			h[n] = append(h[n], value.Draw(t, "value"))
 		}
+		if rapid.Bool().Draw(t, "nominates") {
+			h["Connection"], h["X-A"] = []string{rapid.SampledFrom([]string{"X-A", "close, x-a ,Via", "x-b,X-a"}).Draw(t, "nominated")}, []string{"1"}
+		}
 		o := &Onward{Style: Style(rapid.IntRange(0, 2).Draw(t, "style")), Via: "door", MostVia: 3, Remove: []string{"X-Secret"}, Asserted: []string{"X-Customer"}}
 		from := Origin{Addr: rapid.SampledFrom([]string{"1.2.3.4", "::1"}).Draw(t, "addr"), Host: "shop.example", Trusted: rapid.Bool().Draw(t, "trusted"), Proto: "1.1"}
 		fields, err := o.Append(nil, h, from, "X-Id", "7")
--- a/webfront/front_test.go
+++ b/webfront/front_test.go
@@ -82,6 +82,11 @@
 			io.Copy(io.Discard, in)
 			return
 		}
+		if rest, late := strings.CutPrefix(answer, "late:"); late {
+			io.WriteString(c, rest)
+			time.Sleep(20 * time.Millisecond)
+			answer = strings.Replace(ok2, "ok", "no", 1) // that nobody asked for
+		}
 		if _, err := io.WriteString(c, strings.TrimPrefix(answer, "early:")); err != nil || early {
 			time.Sleep(50 * time.Millisecond)
 			return
@@ -586,3 +591,39 @@
 		}
 	}
 }
+
+// What stands behind an answer is not taken for the next one's.
+func TestNoiseBehindAnAnswer(t *testing.T) {
+	evil := strings.Replace(ok2, "ok", "no", 1)
+	b := script(t, ok2+evil, ok2, ok2+"\r\n", "late:"+ok2, ok2)
+	r := start(t, service("shop", b.addr()))
+	for i := range 5 {
+		if i == 4 {
+			time.Sleep(100 * time.Millisecond) // what comes late has come
+		}
+		_, res, body, err := answerOf(t, "GET", raw(t, r.addr, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", patience))
+		if err != nil || res.StatusCode != 200 || body != "ok" {
+			t.Errorf("answer %d: %v %q %v", i, res, body, err)
+		}
+	}
+}
+
+// A client's time begins with its request, not with its body's end.
+func TestASlowBodyTakesTheClientsTime(t *testing.T) {
+	t.Parallel()
+	r := start(t, service("shop", script(t, "hang").addr())+"deadline = \"2s\"\n")
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	begun := time.Now()
+	io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n")
+	time.Sleep(1200 * time.Millisecond)
+	io.WriteString(c, "ab")
+	c.SetReadDeadline(begun.Add(patience))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if took := time.Since(begun); err != nil || res.StatusCode/100 != 5 || took > 2800*time.Millisecond {
+		t.Errorf("%v %v after %v", res, err, took)
+	}
+}
--- a/webfront/tls_test.go
+++ b/webfront/tls_test.go
@@ -131,7 +131,7 @@
 		case 1: // the key is not there yet
 			key, bad = []byte("SECRET half of a key"), bad+1
 		case 3:
-			cert, _ = a.Pair(func(c *x509.Certificate) { c.NotAfter = time.Now().Add(-time.Minute) }, "shop.example")
+			cert, key = a.Pair(func(c *x509.Certificate) { c.NotAfter = time.Now().Add(-time.Minute) }, "shop.example")
 			bad++
 		case 5:
 			_, key = a.Pair(nil, "other.example")
