Front: plain heads of answers read in place; a lone door without a meter keeps no draws

The benchmark favoured ways that did not come right after ReverseProxy's: a round pays for collecting what the one before left; rounds are in a random order now, and longer.

--- a/bench_test.go
+++ b/bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -134,13 +135,14 @@
 
 // ownPart times ways in turn; the first is the direct one and the second ReverseProxy. shares tells whose are reported.
 func ownPart(b *testing.B, all []way, shares func(i int) bool) {
-	const round = 200
+	const round = 400
 	took := make([][]float64, len(all))
+	rng := rand.New(rand.NewPCG(1, 1))
 	for b.Loop() {
-		for i, w := range all {
+		for _, i := range rng.Perm(len(all)) { // a round pays for collecting some of what the one before it left: in one order, the same way always did
 			start := cpu()
 			for range round {
-				if err := w.ask(); err != nil {
+				if err := all[i].ask(); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/decision/gateway.go
+++ b/decision/gateway.go
@@ -266,9 +266,13 @@
 	g.requests[r.id], g.bySeq[r.seq] = r, r
 	c.ceil -= ev.Units
 	if plan.Rate > 0 {
-		if len(c.draws) == mostDraws { // no readings: the older half goes into the store
-			at := c.draws[mostDraws/2-1].at
-			c.store, c.storeAt, c.draws = c.room(at), at, slices.Delete(c.draws, 0, mostDraws/2)
+		most := mostDraws
+		if g.set.MeterPeriod <= 0 && c.doors == 1 { // nothing is unseen and nothing will be told: the store alone is exact
+			most = 2
+		}
+		if len(c.draws) >= most { // no readings: the older half goes into the store
+			at := c.draws[most/2-1].at
+			c.store, c.storeAt, c.draws = c.room(at), at, slices.Delete(c.draws, 0, most/2)
 		}
 		c.draws = append(c.draws, draw{g.now, 100 * ev.Units / plan.Rate})
 	}
--- a/identity/identity.go
+++ b/identity/identity.go
@@ -143,7 +143,8 @@
 
 // number makes a customer's number of a name. The kind keeps an address from being a key's owner. All doors make the same of it.
 func number(kind, name string) uint64 {
-	sum := sha256.Sum256([]byte(kind + "\x00" + name))
+	var room [128]byte
+	sum := sha256.Sum256(append(append(append(room[:0], kind...), 0), name...))
 	return binary.BigEndian.Uint64(sum[:8])
 }
 
@@ -191,7 +192,8 @@
 	if err != nil {
 		return Who{}, true, err
 	}
-	return Who{Customer: number("address", p.String()), Name: p.String(), Plan: r.Plan}, true, nil
+	name := p.String()
+	return Who{Customer: number("address", name), Name: name, Plan: r.Plan}, true, nil
 }
 
 // Fields are none.
--- a/internal/webback/attempt.go
+++ b/internal/webback/attempt.go
@@ -302,6 +302,9 @@
 
 // head reads an answer's head, and passes on the 1xx ones ahead of it.
 func (x *exchange) head() (*http.Response, error) {
+	if res := x.plain(); res != nil {
+		return res, nil
+	}
 	for infos := 0; ; infos++ {
 		res, err := http.ReadResponse(x.c.br, &http.Request{Method: x.req.Method})
 		switch {
@@ -322,6 +325,43 @@
 	}
 }
 
+// plain gives an answer of which a plain head has come whole with the first bytes; nil: net/http is to read it.
+func (x *exchange) plain() *http.Response {
+	if _, err := x.c.br.Peek(1); err != nil || x.req.Method == http.MethodHead {
+		return nil
+	}
+	raw, _ := x.c.br.Peek(x.c.br.Buffered())
+	status, h, length, size, ok := webwire.PlainHead(raw)
+	if !ok {
+		return nil
+	}
+	_, _ = x.c.br.Discard(size)
+	res := &http.Response{StatusCode: status, Header: h, ContentLength: length, Body: http.NoBody}
+	if length > 0 {
+		res.Body = &lengthBody{x.c.br, length}
+	}
+	return res
+}
+
+// lengthBody is a body of known length.
+type lengthBody struct {
+	r    io.Reader
+	left int64
+}
+
+func (b *lengthBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := b.r.Read(p[:min(int64(len(p)), b.left)])
+	if b.left -= int64(n); err == io.EOF && b.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func (b *lengthBody) Close() error { return nil }
+
 // whole reads a body that is wanted whole.
 func (x *exchange) whole(res *http.Response, a *Answer, most int64) (err error) {
 	if res.ContentLength > most {
--- /dev/null
+++ b/internal/webwire/plain.go
@@ -0,0 +1,72 @@
+package webwire
+
+import (
+	"bytes"
+	"net/textproto"
+	"strconv"
+	"strings"
+)
+
+// PlainHead reads the head of an answer that is as plain as nearly all are: here whole, HTTP/1.1, with one length, letters, digits and hyphens in names,
+// printable ASCII in values, and nothing about the connection or other framing. Of all others it says no, and net/http's reader, which knows all
+// of HTTP, has them: it costs some 2 us and six allocations more. FuzzPlainHead holds the two together. size is the head's in raw.
+func PlainHead(raw []byte) (status int, h Header, length int64, size int, ok bool) {
+	const proto = "HTTP/1.1 "
+	end := bytes.Index(raw, []byte("\r\n\r\n"))
+	if end < 0 || len(raw) < len(proto)+5 || string(raw[:len(proto)]) != proto {
+		return 0, nil, 0, 0, false
+	}
+	text := string(raw[:end+2])
+	line, rest, _ := strings.Cut(text, "\r\n")
+	code, reason, _ := strings.Cut(line[len(proto):], " ")
+	status, err := strconv.Atoi(code)
+	if err != nil || len(code) != 3 || status < 200 || status == 204 || status == 304 || !printable(reason) {
+		return 0, nil, 0, 0, false
+	}
+	n := strings.Count(rest, "\r\n")
+	h, length = make(Header, n), -1
+	values := make([]string, n)
+	for i := range n {
+		line, rest, _ = strings.Cut(rest, "\r\n")
+		name, value, colon := strings.Cut(line, ":")
+		value = strings.Trim(value, " \t")
+		if !colon || !plainName(name) || !printable(value) {
+			return 0, nil, 0, 0, false
+		}
+		name = textproto.CanonicalMIMEHeaderKey(name)
+		switch name {
+		case "Transfer-Encoding", "Connection", "Trailer", "Pragma":
+			return 0, nil, 0, 0, false
+		case "Content-Length":
+			if length >= 0 || value == "" || len(value) > 15 || strings.Trim(value, "0123456789") != "" {
+				return 0, nil, 0, 0, false
+			}
+			length, _ = strconv.ParseInt(value, 10, 64)
+		}
+		if there := h[name]; there != nil {
+			h[name] = append(there, value)
+			continue
+		}
+		values[i] = value
+		h[name] = values[i : i+1 : i+1]
+	}
+	return status, h, length, end + 4, length >= 0
+}
+
+func plainName(name string) bool {
+	for i := range len(name) {
+		if c := name[i]; c != '-' && (c < '0' || c > '9') && (c|0x20 < 'a' || c|0x20 > 'z') {
+			return false
+		}
+	}
+	return name != ""
+}
+
+func printable(s string) bool {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/webwire/webwire_test.go
+++ b/internal/webwire/webwire_test.go
@@ -165,3 +165,29 @@
 		}
 	})
 }
+
+// FuzzPlainHead: what is read here is what net/http reads.
+func FuzzPlainHead(f *testing.F) {
+	for _, s := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 404 Not  Found\r\ncontent-length:0\r\nX-A: b\r\nx-a:  c \t\r\n\r\n", "HTTP/1.1 200\r\nContent-Length: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n fold\r\n\r\n", "HTTP/1.1 200 OK\r\nPragma: no-cache\r\nContent-Length: 2\r\n\r\n",
+		"HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 200 OK\r\n: x\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\nC: d\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 299 \r\n-: \r\nContent-Length: 02\r\n\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		status, h, length, size, ok := PlainHead(raw)
+		if !ok {
+			return
+		}
+		in := bufio.NewReader(bytes.NewReader(raw))
+		res, err := http.ReadResponse(in, &http.Request{Method: "GET"})
+		if err != nil {
+			t.Fatalf("net/http: %v of %q", err, raw)
+		}
+		if res.StatusCode != status || res.ContentLength != length || res.Close || len(res.TransferEncoding) > 0 || fmt.Sprint(res.Header) != fmt.Sprint(h) || !bytes.HasSuffix(raw[:size], []byte("\r\n\r\n")) {
+			t.Fatalf("%d %d %v, net/http: %d %d %v of %q", status, length, h, res.StatusCode, res.ContentLength, res.Header, raw)
+		}
+		if body, err := io.ReadAll(res.Body); err == nil && !bytes.Equal(body, raw[size:size+int(length)]) {
+			t.Fatalf("%q of %q", body, raw)
+		}
+	})
+}
--- a/purity_test.go
+++ b/purity_test.go
@@ -25,10 +25,11 @@
 
 // pureOf are what pure packages may use of packages that also do I/O: what works on values alone.
 var pureOf = map[string][]string{
-	"net/http":  {"Request", "Response", "ReadResponse", "ReadRequest", "NoBody", "MethodGet", "MethodPost", "StatusSwitchingProtocols"},
-	"net/url":   {"PathUnescape"},
-	"net/netip": {"ParseAddr"},
-	"io":        {"EOF", "ErrUnexpectedEOF", "ReadFull", "ReadAll", "LimitReader"},
+	"net/http":      {"Request", "Response", "ReadResponse", "ReadRequest", "NoBody", "MethodGet", "MethodPost", "StatusSwitchingProtocols"},
+	"net/url":       {"PathUnescape"},
+	"net/textproto": {"CanonicalMIMEHeaderKey"},
+	"net/netip":     {"ParseAddr"},
+	"io":            {"EOF", "ErrUnexpectedEOF", "ReadFull", "ReadAll", "LimitReader"},
 }
 
 // impurities names what a file does that a pure package must not.
--- a/webfront/serve.go
+++ b/webfront/serve.go
@@ -263,7 +263,7 @@
 	case len(ids) == 0:
 		id := rand.Uint64()
 		req = req.WithID(id)
-		add = []string{f.config.IDIn, fmt.Sprintf("%016x", id)}
+		add = []string{f.config.IDIn, hex16(id)}
 	}
 	load := &webback.Request{Service: to.Service, Statuses: &to.Statuses}
 	load.Method, load.Target, load.Host, load.LeftIn = r.Method, p.Target, r.Host, f.config.LeftIn
@@ -278,6 +278,12 @@
 	return load, req, err
 }
 
+// hex16 writes 16 hex digits.
+func hex16(id uint64) string {
+	s := strconv.FormatUint(id, 16)
+	return "0000000000000000"[len(s):] + s
+}
+
 func without(h http.Header, name string) http.Header {
 	if _, there := h[name]; !there {
 		return h
