--- a/webfront/front_test.go
+++ b/webfront/front_test.go
@@ -546,6 +546,21 @@
 	if w := ask("/api/a", false); w.Code != 401 || w.Header().Get("WWW-Authenticate") == "" {
 		t.Errorf("nobody: %d", w.Code)
 	}
+	for target, want := range map[string]int{"/a": 200, "/own": 418} {
+		swap := r.rules(parse(t, service("shop", backend)+"[[identity]]\nkind = \"key\"\nfile = \"/dev/null\"\n[[plan]]\nname = \"p\"\n[[route]]\npath = \"/a\"\n[[route]]\npath = \"/own\"\nmethods = [\"PUT\"]\n"))
+		if err := r.front.Swap(swap); err != nil {
+			t.Fatal(err)
+		}
+		w := httptest.NewRecorder()
+		req := httptest.NewRequest("GET", target, nil).WithContext(pumicecroft.WithIdentity(context.Background(), pumicecroft.Identity{Customer: 7, Plan: "p"}))
+		r.front.Or(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(418) })).ServeHTTP(w, req)
+		if w.Code != want {
+			t.Errorf("%s beside a host's own: %d", target, w.Code)
+		}
+	}
+	if err := r.front.Swap(r.rules(r.file)); err != nil {
+		t.Fatal(err)
+	}
 	if w := ask("/api/slow", true); w.Code != 503 || w.Body.String() != "host's" {
 		t.Errorf("%d %q", w.Code, w.Body)
 	}
--- a/webfront/serve.go
+++ b/webfront/serve.go
@@ -138,16 +138,28 @@
 
 func leaf(chains [][]*x509.Certificate) *x509.Certificate { return chains[0][0] }
 
+// Or is a handler for hosts with routes of their own: what no route of the Front takes goes to next, untouched; all else is the Front's, refusals
+// among it.
+func (f *Front) Or(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(w, r, next) })
+}
+
 // ServeHTTP gives a request its one final answer. One that is cut when it has begun ends its connection (http.ErrAbortHandler).
-func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.serve(w, r, nil) }
+
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, next http.Handler) {
 	arrived := time.Now()
 	rules := f.rules.Load()
+	p, from := f.settle(rules, r, arrived)
+	if next != nil && (errors.Is(p.Err, routes.ErrNone) || errors.Is(p.Err, routes.ErrMethod)) {
+		next.ServeHTTP(w, r)
+		return
+	}
 	// The server drops a Content-Length beside a Transfer-Encoding unseen. Who goes by the one that was dropped finds another request where this
 	// one's body ends, or the other way round: what may be behind it is not read.
 	if r.ProtoMajor == 1 && (len(r.TransferEncoding) > 0 || r.ProtoMinor == 0) {
 		w.Header()["Connection"] = []string{"close"}
 	}
-	p, from := f.settle(rules, r, arrived)
 	if p.Err != nil {
 		f.refuse(w, r, &p, p.Err)
 		return
