Front: refusals with large bodies go elsewhere; no 1xx answers to HTTP/1.0

A refusal whose body was over 64 KiB was passed on as it came, in place of a try elsewhere, as was a failure that may be repeated; a client of HTTP/1.0 was sent 103. Change: bodies of errors are held up to 256 KiB; a refusal's longer one is dropped; the sink knows HTTP/1.0.

--- a/internal/webback/attempt.go
+++ b/internal/webback/attempt.go
@@ -283,9 +283,15 @@
 			most = hold
 		}
 		err = x.whole(res, a, most)
+	case result == decision.Refused && res.ContentLength > hold: // its body is not worth a try elsewhere
+		out.Body = nil
+		return out, false
 	case result != decision.Answered && res.ContentLength < 0:
 		var more bool
-		if more, err = x.some(res, a, hold); more && err == nil {
+		if more, err = x.some(res, a, hold); more && err == nil && result == decision.Refused {
+			out.Body = nil
+			return out, false
+		} else if more && err == nil {
 			return x.stream(res, a, out, end)
 		}
 	default:
--- a/internal/webback/webback.go
+++ b/internal/webback/webback.go
@@ -32,7 +32,7 @@
 	Idle     time.Duration // a backend may close a connection that was idle for this long; 15 s
 	Hold     int           // bytes up to which an answer of known length is held until it is whole; 64 KiB. Below 0: none is
 	MaxHead  int           // bytes of an answer's head, 1xx answers ahead of it among it; 64 KiB
-	MaxError int           // bytes of an error's body that are kept for the client in case it is the last word; 64 KiB. A longer one is passed on as it comes
+	MaxError int           // bytes of an error's body that are kept for the client in case it is the last word; 256 KiB. A longer one is passed on as it comes, and not made up for
 	// TLS is what the connections are made with; nil: they are plain. Its ServerName, where it is empty, is the host of the backend's address.
 	TLS *tls.Config
 	// H2 says that backends speak HTTP/2: over TLS as ALPN has it, else with prior knowledge (RFC 9113, 3.3). H2Conns are its connections to one
@@ -83,7 +83,7 @@
 	positive(&c.Conns, 256)
 	positive(&c.H2Conns, 2)
 	positive(&c.MaxHead, 64<<10)
-	positive(&c.MaxError, 64<<10)
+	positive(&c.MaxError, 256<<10)
 	if c.Hold == 0 {
 		c.Hold = 64 << 10
 	}
--- a/webfront/serve.go
+++ b/webfront/serve.go
@@ -193,7 +193,7 @@
 		load.MostWhole = f.config.MostKeyed
 		load.Digest = [][]byte{[]byte(load.Method), []byte(load.Host), []byte(load.Target), []byte(strings.Join(r.Header["Content-Type"], ",")), body}
 	} else {
-		out = &sink{w: w}
+		out = &sink{w: w, old: !r.ProtoAtLeast(1, 1)}
 		load.Sink = out
 		defer out.close()
 	}
--- a/webfront/sink.go
+++ b/webfront/sink.go
@@ -15,6 +15,8 @@
 type sink struct {
 	w http.ResponseWriter
 
+	old bool // HTTP/1.0: there are no 1xx answers (RFC 9110, 15.2)
+
 	mu     sync.Mutex
 	begun  bool
 	ended  bool // the answer is whole
@@ -30,7 +32,7 @@
 func (s *sink) Info(status int, h http.Header) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.begun {
+	if s.closed || s.begun || s.old {
 		return
 	}
 	own := s.w.Header()
