Services from Consul, each with its own backends, by a test

Need: a service's backends come from a file, discovery or Consul; the last was not shown. Change: a test of the program with two services in Consul and nodes beside them that speak gRPC.

--- a/cmd/pumicecroft/web_test.go
+++ b/cmd/pumicecroft/web_test.go
@@ -4,16 +4,19 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"pumicecroft/internal/standin"
 	"pumicecroft/internal/testcerts"
 )
 
@@ -228,3 +231,60 @@
 		t.Error("without a URL it is no error")
 	}
 }
+
+// Services whose backends stand in Consul: each has its own, what a node's meta says of its protocol comes first, and neither gets the other's requests.
+func TestServicesFromConsul(t *testing.T) {
+	agent, err := standin.StartConsul(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	for _, name := range []string{"a", "b"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "by "+name) }))
+		t.Cleanup(s.Close)
+		host, port, _ := net.SplitHostPort(strings.TrimPrefix(s.URL, "http://"))
+		number, _ := strconv.Atoi(port)
+		agent.Put(standin.Instance{Node: "n", NodeAddr: host, ID: name, Service: "web-" + name, Port: number, Checks: []standin.Check{{ID: "up", Status: "passing"}}},
+			standin.Instance{Node: "n", NodeAddr: host, ID: name + "-grpc", Service: "web-" + name, Port: 1, Meta: map[string]string{"speaks": "grpc"}, Checks: []standin.Check{{ID: "up", Status: "passing"}}})
+	}
+	_, addr, _ := serving(t, file(t, fmt.Sprintf(`listen = "127.0.0.1:0"
+members = "127.0.0.1:0"
+[[service]]
+name = "a"
+[[service]]
+name = "b"
+[[route]]
+path = "/a/{rest...}"
+service = "a"
+[[route]]
+path = "/b/{rest...}"
+service = "b"
+[consul]
+address = %q
+[[consul.service]]
+name = "web-a"
+service = "a"
+protocol = "speaks"
+[[consul.service]]
+name = "web-b"
+service = "b"
+protocol = "speaks"
+`, agent.Addr())))
+	for n := range 40 {
+		name := []string{"a", "b"}[n%2]
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			res, err := http.Get("http://" + addr + "/" + name + "/x")
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, _ := io.ReadAll(res.Body)
+			res.Body.Close()
+			if res.StatusCode == 200 && string(body) == "by "+name {
+				break
+			}
+			if res.StatusCode != 503 || n > 1 || time.Now().After(end) { // until the door has heard of it
+				t.Fatalf("%s, request %d: %d %s", name, n, res.StatusCode, body)
+			}
+		}
+	}
+}
