--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -2,7 +2,8 @@
 //
 //	pumicecroft              serve, configured by the file that NODE_CONFIG names, until SIGTERM; SIGHUP makes it
 //	                         read the file again and follow the discovery that it names then
-//	pumicecroft serve FILE   serve, configured by an operator's file, until SIGTERM
+//	pumicecroft serve FILE   serve, configured by an operator's file, until SIGTERM; SIGHUP makes it read routes,
+//	                         identities and certificates again
 //	pumicecroft check FILE   check an operator's file and name key and line of each error
 //	pumicecroft routes FILE METHOD URL
 //	                         print what would become of a request, and why: see routes -h
