Connections to a service's backends are bounded, by a test

Need: all that is kept for a connection has a bound, and a test of it. Change: 40 callers over three backends and four connections, and over HTTP/2 with one to each; idle and gone ones go by themselves. Result: passes five times under -race.

--- /dev/null
+++ b/internal/webback/webback_test.go
@@ -0,0 +1,85 @@
+package webback
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/drive"
+	"pumicecroft/internal/webwire"
+	"pumicecroft/membership"
+)
+
+// Connections are bounded over all backends, kept ones make room, idle ones go by themselves, and a backend that is gone keeps none.
+func TestConnectionsAreBounded(t *testing.T) {
+	for name, h2 := range map[string]bool{"HTTP/1.1": false, "HTTP/2": true} {
+		t.Run(name, func(t *testing.T) {
+			var open, most atomic.Int64
+			var changes []membership.Change
+			for i := range 3 {
+				s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					time.Sleep(time.Millisecond)
+					w.Write([]byte("ok"))
+				}))
+				s.Config.Protocols = new(http.Protocols)
+				s.Config.Protocols.SetHTTP1(true)
+				s.Config.Protocols.SetUnencryptedHTTP2(true)
+				s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+					switch state {
+					case http.StateNew:
+						if n := open.Add(1); n > most.Load() {
+							most.Store(n)
+						}
+					case http.StateClosed, http.StateHijacked:
+						open.Add(-1)
+					}
+				}
+				s.Start()
+				t.Cleanup(s.Close)
+				changes = append(changes, membership.Change{BackendInfo: decision.BackendInfo{ID: decision.BackendID(i)}, Addr: strings.TrimPrefix(s.URL, "http://")})
+			}
+			b := New(Config{Service: "shop", Conns: 4, H2: h2, H2Conns: 1, Idle: 100 * time.Millisecond})
+			defer b.Close()
+			b.Apply(changes)
+			var ran sync.WaitGroup
+			var answered, notSent, other atomic.Int64
+			for i := range 40 {
+				ran.Go(func() {
+					for range 20 {
+						req := &Request{Request: webwire.Request{Method: "GET", Target: "/", Host: "x"}, Service: "shop", Statuses: &webwire.Statuses{}, MostWhole: 100}
+						switch b.Carry(drive.NewAttempt(decision.BackendID(i%3), time.Now().Add(20*time.Second), req)).Result {
+						case decision.Answered:
+							answered.Add(1)
+						case decision.NotSent: // there was no room: it has not run
+							notSent.Add(1)
+						default:
+							other.Add(1)
+						}
+					}
+				})
+			}
+			ran.Wait()
+			// The other side sees a connection's end a little later than this one.
+			if answered.Load() == 0 || other.Load() > 0 || b.Conns() > 4 || h2 && (notSent.Load() > 0 || most.Load() > 3) || !h2 && (notSent.Load() == 0 || most.Load() > 4+3) {
+				t.Errorf("%d answered, %d not sent, %d other; %d connections, %d at most", answered.Load(), notSent.Load(), other.Load(), b.Conns(), most.Load())
+			}
+			if h2 {
+				for i := range changes {
+					changes[i].State = decision.Gone
+				}
+				b.Apply(changes)
+			}
+			for end := time.Now().Add(20 * time.Second); b.Conns() > 0 || open.Load() > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("%d connections are kept, %d open", b.Conns(), open.Load())
+				}
+			}
+		})
+	}
+}
