Driver's test of many callers has its leaving ones hang

Cause: a request that is answered within 2 ms is not watched any more, so callers that leave at 1 ms were seen to leave by chance alone; the test failed in one run of eight. Change: those whose caller leaves hang, so that the first of them is seen to leave.

--- a/internal/drive/drive_test.go
+++ b/internal/drive/drive_test.go
@@ -293,6 +293,9 @@
 	}
 	var n atomic.Int64
 	d := New(clock, core.New(g, set.Classes, core.Limits{}, clock.Now()), carrier{carry: func(a *Attempt) Reply {
+		if a.Load == true { // its caller leaves
+			return hang(a)
+		}
 		switch n.Add(1) % 7 {
 		case 0:
 			return result(decision.Refused)
@@ -317,12 +320,13 @@
 		callers.Go(func() {
 			for i := range 50 {
 				ctx, cancel := context.WithCancel(t.Context())
-				if (c+i)%5 == 0 {
+				leaves := (c+i)%5 == 0
+				if leaves {
 					time.AfterFunc(time.Millisecond, cancel)
 				}
 				req := decision.Request{ID: decision.RequestID(c*1000 + i), Customer: decision.CustomerID(c), Class: "c", Plan: "p",
 					Units: 1, Patience: 60 * time.Millisecond, Spread: 1}
-				a, err := d.Serve(ctx, req, 80*time.Millisecond, nil)
+				a, err := d.Serve(ctx, req, 80*time.Millisecond, leaves)
 				if err != nil {
 					t.Error(err)
 				}
