Read again: what the front kept and never looked at is gone; one piece for two

Change: Progress.Heard, conn.heard, Answer's length and Sink.Head's were set and never read; HTTP/2's wrapper of one field and its list of at most one connection that comes up are the connection and a channel; whether a backend is still known is looked up, not searched for. ServiceTLS.KeyID held a key's file.

--- a/bench_test.go
+++ b/bench_test.go
@@ -40,6 +40,19 @@
 	ask  func() error
 }
 
+// askOnce asks once, and reads the answer.
+func askOnce(client http.RoundTripper, req *http.Request) error {
+	res, err := client.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != 200 {
+		return fmt.Errorf("%s: %w", res.Status, err)
+	}
+	return nil
+}
+
 // ways are a backend's: straight, through net/http/httputil.ReverseProxy, through the daemon's server, through the
 // middleware, and by Do. All of it, clients and the backend too, runs in this process, so what a way costs by itself
 // is its figure less that of "direct".
@@ -86,15 +99,7 @@
 			}
 			req.Header = http.Header{"Request-Id": {fmt.Sprintf("%016x", next)}, "Request-Class": {"look"}, "X-Tier": {"basic"},
 				"X-Api-Key": {"00000000b4d65521"}, "Request-Timeout": {"20.5"}, "X-Call-Terms": {"units=1,spread=1,first=0"}}
-			res, err := client.RoundTrip(req)
-			if err != nil {
-				return err
-			}
-			defer res.Body.Close()
-			if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != 200 {
-				return fmt.Errorf("%s: %w", res.Status, err)
-			}
-			return nil
+			return askOnce(client, req)
 		}}
 	}
 	return []way{overHTTP("direct", addr), overHTTP("ReverseProxy", serve(proxy)), overHTTP("daemon", ln.Addr().String()),
--- a/bench_web_test.go
+++ b/bench_web_test.go
@@ -94,15 +94,7 @@
 				return err
 			}
 			req.Header = http.Header{"Accept": {"application/json"}, "User-Agent": {"bench"}, "Authorization": {"Bearer abc"}, "Cookie": {"a=b; c=d"}}
-			res, err := client.RoundTrip(req)
-			if err != nil {
-				return err
-			}
-			defer res.Body.Close()
-			if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != 200 {
-				return fmt.Errorf("%s: %w", res.Status, err)
-			}
-			return nil
+			return askOnce(client, req)
 		}}
 	}
 	direct := over("direct", nil, addr)
--- a/conformance/grpc_test.go
+++ b/conformance/grpc_test.go
@@ -60,13 +60,20 @@
 	for _, class := range c.Settings.Classes {
 		text += fmt.Sprintf("[[grpc.method]]\nname = \"/%s/%s\"\nclass = %q\n", standin.GRPCService, class.Name, class.Name)
 	}
+	p := startByFile(t, text, c)
+	p.addr = p.grpc
+	return p
+}
+
+// startByFile starts the daemon by an operator's file, and waits until it knows all that the configuration lists, and more.
+func startByFile(t testing.TB, text string, c platform.Config, more ...string) *process {
+	t.Helper()
 	path := filepath.Join(t.TempDir(), "pumicecroft.toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	p := startAs(t, "PUMICECROFT_BY_FILE="+path)
-	p.addr = p.grpc
-	var names []string
+	names := more
 	for _, n := range c.Known.Members().Nodes {
 		names = append(names, n.Name)
 	}
--- a/conformance/web_test.go
+++ b/conformance/web_test.go
@@ -5,13 +5,10 @@
 	"log/slog"
 	"net/http"
 	"os"
-	"path/filepath"
-	"slices"
 	"strings"
 	"testing"
 
 	"pumicecroft"
-	"pumicecroft/internal/daemon"
 	"pumicecroft/internal/platform"
 	"pumicecroft/internal/standin"
 	"pumicecroft/internal/webload"
@@ -57,18 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "pumicecroft.toml")
-	if err := os.WriteFile(path, []byte(webFile(c)), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p := startAs(t, "PUMICECROFT_BY_FILE="+path)
-	var names []string
-	for _, n := range c.Known.Members().Nodes {
-		names = append(names, n.Name)
-	}
-	slices.Sort(names)
-	knowsAll(t, names, func() ([]pumicecroft.Member, error) { return daemon.AskMembers(t.Context(), p.members) })
-	return p
+	return startByFile(t, webFile(c), c)
 }
 
 // ordinaryHTTP is a webfront.Front in a host's server in this process.
@@ -156,12 +142,7 @@
 name = "/%s/look"
 class = "look"
 `, beside["two"].Addr(), beside["grpc"].Addr(), standin.GRPCService)
-		path := filepath.Join(t.TempDir(), "pumicecroft.toml")
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		p := startAs(t, "PUMICECROFT_BY_FILE="+path)
-		knowsAll(t, []string{"b0", "grpc", "two/" + beside["two"].Addr()}, func() ([]pumicecroft.Member, error) { return daemon.AskMembers(t.Context(), p.members) })
+		p := startByFile(t, text, c, "grpc", "two/"+beside["two"].Addr())
 		overGRPC := standin.GRPCTransport()
 		t.Cleanup(overGRPC.CloseIdleConnections)
 		for i := range 60 {
--- a/internal/operator/web.go
+++ b/internal/operator/web.go
@@ -37,11 +37,11 @@
 
 // ServiceTLS is how a service's backends are reached over TLS.
 type ServiceTLS struct {
-	At               Place
-	CAFile, Name     string
-	Pins             []string // SHA-256 of keys, in base64
-	CertFile, KeyID  string
-	MinTLS12, SkipCA bool
+	At                Place
+	CAFile, Name      string
+	Pins              []string // SHA-256 of keys, in base64
+	CertFile, KeyFile string
+	MinTLS12, SkipCA  bool
 }
 
 // Place is where a section stands, for what is wrong with files that it names.
@@ -160,13 +160,13 @@
 
 func readServiceTLS(d *document, s *section) *ServiceTLS {
 	t := &ServiceTLS{At: s.place(), CAFile: s.text("ca_file", false), Name: s.text("name", false), Pins: s.texts("pins"),
-		CertFile: s.text("cert_file", false), KeyID: s.text("key_file", false)}
+		CertFile: s.text("cert_file", false), KeyFile: s.text("key_file", false)}
 	t.MinTLS12 = s.oneOf("min", "1.3", "1.3", "1.2") == 1
 	t.SkipCA = s.oneOf("verify", "ca", "ca", "pins") == 1
 	if t.SkipCA && len(t.Pins) == 0 {
 		d.bad(s.path, "verify", "there are no pins to go by")
 	}
-	if (t.CertFile == "") != (t.KeyID == "") {
+	if (t.CertFile == "") != (t.KeyFile == "") {
 		d.bad(s.path, "key_file", "cert_file and key_file go together")
 	}
 	s.done()
--- a/internal/webback/attempt.go
+++ b/internal/webback/attempt.go
@@ -37,8 +37,8 @@
 type Sink interface {
 	// Info passes on a 1xx answer.
 	Info(status int, h http.Header)
-	// Head begins the answer; length is below 0 if it is not known. due is when the attempt ends at the latest.
-	Head(a *Answer, length int64, due time.Time)
+	// Head begins the answer. due is when the attempt ends at the latest.
+	Head(a *Answer, due time.Time)
 	// Write takes a part of the body. flush: what comes next is not there yet. An error ends the attempt.
 	Write(p []byte, flush bool) error
 	// Trailer ends the answer, with the fields behind its body.
@@ -52,12 +52,8 @@
 	Trailer  http.Header // those announced in an answer that has begun have no values yet
 	Body     []byte
 	Streamed bool // it went to the Sink
-	length   int64
 }
 
-// Length is that of the body as the head told it; below 0: it did not.
-func (a *Answer) Length() int64 { return a.length }
-
 // Protocol is what it goes over.
 func (r *Request) Protocol() string { return Protocol(r.Service) }
 
@@ -78,7 +74,6 @@
 	if err := gob.NewDecoder(bytes.NewReader(k.Body)).Decode(a); err != nil {
 		return nil, fmt.Errorf("a kept answer: %w", err)
 	}
-	a.length = int64(len(a.Body))
 	return a, nil
 }
 
@@ -158,7 +153,7 @@
 		x.b.finish(c, x.a, false)
 		return reply(decision.NotSent), false
 	}
-	c.begin(x.b.config.MaxHead)
+	c.left = x.b.config.MaxHead // until the answer's head is there
 	if err := x.write(); err != nil && !x.at.Ran() {
 		kept := c.pooled.Used()
 		x.b.drop(c)
@@ -230,7 +225,7 @@
 	if !long {
 		p = req.AppendBody(p)
 	}
-	n, err := x.c.write(p)
+	n, err := x.c.nc.Write(p)
 	if cap(p) <= inlineBody {
 		*buf = p[:0]
 	}
@@ -244,7 +239,7 @@
 		if len(req.Trailer) > 0 {
 			body = req.AppendBody(nil)
 		}
-		_, err := x.c.write(body)
+		_, err := x.c.nc.Write(body)
 		x.beat <- err
 	}()
 	return nil
@@ -253,7 +248,6 @@
 // read reads the answer and passes it on. clean tells whether the connection may be used again.
 func (x *exchange) read() (r drive.Reply, clean bool) {
 	res, err := x.head()
-	x.at.Heard = x.c.heard
 	if err != nil {
 		return x.failed(err), false
 	}
@@ -264,7 +258,7 @@
 // answer takes an answer whose head is there. end tells whether its connection may be used again.
 func (x *exchange) answer(res *http.Response) (r drive.Reply, may bool) {
 	var err error
-	a := &Answer{Status: res.StatusCode, Header: res.Header, Trailer: res.Trailer, length: res.ContentLength}
+	a := &Answer{Status: res.StatusCode, Header: res.Header, Trailer: res.Trailer}
 	h := res.Header
 	result := x.req.Statuses.Result(res.StatusCode, len(h["Retry-After"]) > 0, len(h["Not-Started"]) == 1 && h["Not-Started"][0] == "1")
 	out := drive.Reply{Outcome: core.Outcome{Result: result}, Body: a}
@@ -390,7 +384,7 @@
 func (x *exchange) some(res *http.Response, a *Answer, most int64) (more bool, err error) {
 	a.Body, err = io.ReadAll(io.LimitReader(res.Body, most+1))
 	if err == nil && int64(len(a.Body)) <= most {
-		a.Trailer, a.length = res.Trailer, int64(len(a.Body))
+		a.Trailer = res.Trailer
 		return false, nil
 	}
 	return true, err
@@ -403,7 +397,7 @@
 	}
 	a.Streamed = true
 	sink := x.req.Sink
-	sink.Head(a, a.length, x.a.Due)
+	sink.Head(a, x.a.Due)
 	room := rooms.Get().(*[]byte)
 	defer rooms.Put(room)
 	if !x.here() {
--- a/internal/webback/conn.go
+++ b/internal/webback/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"time"
 
@@ -24,8 +23,7 @@
 	look   *netlook.Looker
 	pooled *connpool.Conn
 	br     *bufio.Reader
-	left   int  // bytes that may still be read; below 0: no bound
-	heard  bool // something came since begin
+	left   int // bytes that may still be read; below 0: no bound
 }
 
 // newConn takes a connection, and the one below it that the system knows.
@@ -46,18 +44,12 @@
 		p = p[:l.left]
 	}
 	n, err := l.nc.Read(p)
-	if n > 0 {
-		l.heard = true
-	}
 	if l.left > 0 {
 		l.left -= n
 	}
 	return n, err
 }
 
-// begin is the start of an exchange, whose head may be so long.
-func (c *conn) begin(maxHead int) { c.heard, c.left = c.br.Buffered() > 0, maxHead }
-
 // past is a deadline that ends what waits.
 var past = time.Unix(1, 0)
 
@@ -65,12 +57,3 @@
 func (c *conn) cut() { c.nc.SetDeadline(past) }
 
 func (c *conn) close() { c.nc.Close() }
-
-// write writes all of p and tells how much of it the connection took.
-func (c *conn) write(p []byte) (int, error) {
-	n, err := c.nc.Write(p)
-	if err == nil && n < len(p) {
-		err = io.ErrShortWrite
-	}
-	return n, err
-}
--- a/internal/webback/h2.go
+++ b/internal/webback/h2.go
@@ -22,60 +22,56 @@
 	"pumicecroft/internal/webwire"
 )
 
-// h2conn is an HTTP/2 connection. What is on it is x/net's business; which one a request takes, and what an end proves, is decided here: its
-// Transport would send some requests again by itself, a ClientConn sends each once.
-type h2conn struct{ cc *http2.ClientConn }
-
-// transport makes the connections; it dials none.
+// transport makes the connections; it dials none. What is on one is x/net's business; which one a request takes, and what an end proves, is
+// decided here: its Transport would send some requests again by itself, a ClientConn sends each once.
 func (b *Backends) transport() *http2.Transport {
 	return &http2.Transport{AllowHTTP: true, DisableCompression: true, MaxHeaderListSize: uint32(b.config.MaxHead), StrictMaxConcurrentStreams: true}
 }
 
 // leaveAll lets the connections of a backend end when what is on them has; it wants the lock.
 func (b *Backends) leaveAll(be *backend) {
-	for _, c := range be.h2 {
-		go c.leave()
+	for _, cc := range be.h2 {
+		go leave(cc)
 	}
 	be.h2 = nil
 }
 
 // leave takes nothing more and closes when all has ended.
-func (c *h2conn) leave() { _ = c.cc.Shutdown(context.Background()) }
+func leave(cc *http2.ClientConn) { _ = cc.Shutdown(context.Background()) }
 
 // pick gives a connection with a stream that is reserved, or one that is coming up; mine: it is to be dialled.
-func (b *Backends) pick(id decision.BackendID) (be *backend, c *h2conn, coming chan struct{}, mine bool) {
+func (b *Backends) pick(id decision.BackendID) (be *backend, cc *http2.ClientConn, coming chan struct{}, mine bool) {
 	b.mu.Lock()
 	defer b.unlock()
 	be = b.byID[id]
 	if be == nil || be.state != decision.Ready {
 		return nil, nil, nil, false
 	}
-	be.h2 = slices.DeleteFunc(be.h2, func(c *h2conn) bool {
-		s := c.cc.State()
+	be.h2 = slices.DeleteFunc(be.h2, func(cc *http2.ClientConn) bool {
+		s := cc.State()
 		old := s.StreamsActive+s.StreamsReserved+s.StreamsPending == 0 && !s.LastIdle.IsZero() && time.Since(s.LastIdle) > b.config.Idle*6/10 // the backend may be closing it
 		if old {
-			go c.leave()
+			go leave(cc)
 		}
 		return old || s.Closed || s.Closing
 	})
-	for _, c := range be.h2 {
-		if c.cc.ReserveNewRequest() {
-			return be, c, nil, false
+	for _, cc := range be.h2 {
+		if cc.ReserveNewRequest() {
+			return be, cc, nil, false
 		}
 	}
-	if len(be.coming) > 0 {
-		return be, nil, be.coming[0], false
+	if be.coming != nil {
+		return be, nil, be.coming, false
 	}
 	if len(be.h2) >= b.config.H2Conns {
 		return be, nil, nil, false
 	}
-	coming = make(chan struct{})
-	be.coming = append(be.coming, coming)
-	return be, nil, coming, true
+	be.coming = make(chan struct{})
+	return be, nil, be.coming, true
 }
 
 // dialH2 brings a connection up for all that wait for it.
-func (b *Backends) dialH2(be *backend, coming chan struct{}) {
+func (b *Backends) dialH2(id decision.BackendID, be *backend) {
 	ctx, cancel := context.WithTimeout(context.Background(), b.config.Connect)
 	defer cancel()
 	nc, _, err := b.open(ctx, be.place.Addr)
@@ -86,38 +82,39 @@
 		}
 	}
 	b.mu.Lock()
-	be.coming = slices.DeleteFunc(be.coming, func(c chan struct{}) bool { return c == coming })
-	known := false
-	for _, other := range b.byID {
-		known = known || other == be
-	}
+	known := b.byID[id] == be
 	if err == nil && known {
-		be.h2 = append(be.h2, &h2conn{cc})
+		be.h2 = append(be.h2, cc)
 	}
+	b.came(be)
 	b.unlock()
 	if err == nil && !known {
 		cc.Close()
 	}
-	close(coming)
+}
+
+// came ends the wait for the connection that was coming up; it wants the lock.
+func (b *Backends) came(be *backend) {
+	close(be.coming)
+	be.coming = nil
 }
 
 // connH2 gives a connection with a stream that is reserved, or the result of an attempt that gets none.
-func (b *Backends) connH2(ctx context.Context, a *drive.Attempt) (*h2conn, string, decision.Result) {
+func (b *Backends) connH2(ctx context.Context, a *drive.Attempt) (*http2.ClientConn, string, decision.Result) {
 	for waited := false; ; waited = true {
-		be, c, coming, mine := b.pick(a.Backend)
+		be, cc, coming, mine := b.pick(a.Backend)
 		switch {
-		case c != nil:
-			return c, be.place.Addr, 0
+		case cc != nil:
+			return cc, be.place.Addr, 0
 		case coming == nil: // all streams are taken, or it drains: the decision module may choose another backend
 			return nil, "", decision.NotSent
 		case waited && mine: // the one that was waited for has failed
 			b.mu.Lock()
-			be.coming = slices.DeleteFunc(be.coming, func(c chan struct{}) bool { return c == coming })
+			b.came(be)
 			b.unlock()
-			close(coming)
 			return nil, "", decision.NoConnection
 		case mine:
-			go b.dialH2(be, coming)
+			go b.dialH2(a.Backend, be)
 		}
 		select {
 		case <-coming:
@@ -135,14 +132,14 @@
 		return reply(decision.NotSent)
 	}
 	defer a.Wait(nil)
-	c, addr, result := b.connH2(ctx, a)
-	if c == nil {
+	cc, addr, result := b.connH2(ctx, a)
+	if cc == nil {
 		return reply(result)
 	}
 	x := &exchange{b: b, a: a, req: req, addr: addr, here: func() bool { return false }, at: webwire.Progress{Head: 1}}
 	hr, err := x.requestH2(ctx, addr)
 	if err != nil || a.TooLate() {
-		go c.leave() // what was reserved on it is given back by nothing else
+		go leave(cc) // what was reserved on it is given back by nothing else
 		return reply(decision.NotSent)
 	}
 	var wrote atomic.Bool
@@ -159,7 +156,7 @@
 			}
 			return nil
 		}}))
-	res, err := c.cc.RoundTrip(hr)
+	res, err := cc.RoundTrip(hr)
 	if wrote.Load() {
 		x.at.Wrote = 1
 	}
@@ -167,7 +164,6 @@
 		return x.failedH2(err)
 	}
 	defer res.Body.Close()
-	x.at.Heard = true
 	if req.Method == http.MethodHead || res.StatusCode == http.StatusNoContent || res.StatusCode == http.StatusNotModified {
 		res.Body = http.NoBody // which x/net has a value of its own for
 	}
--- a/internal/webback/webback.go
+++ b/internal/webback/webback.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/http2"
 	"golang.org/x/time/rate"
 
 	"pumicecroft/decision"
@@ -67,8 +68,8 @@
 type backend struct {
 	state  decision.BackendState
 	place  *connpool.Place
-	h2     []*h2conn
-	coming []chan struct{} // of HTTP/2 connections that are coming up, each closed at its end
+	h2     []*http2.ClientConn
+	coming chan struct{} // closed when the HTTP/2 connection that is coming up is there or has failed; nil: there is none
 }
 
 var _ drive.Backends = (*Backends)(nil)
--- a/internal/webload/webload.go
+++ b/internal/webload/webload.go
@@ -162,7 +162,7 @@
 		if err != nil {
 			return bad("cert_file", err)
 		}
-		keyText, err := read(t.KeyID)
+		keyText, err := read(t.KeyFile)
 		if err != nil {
 			return bad("key_file", err)
 		}
--- a/internal/webwire/proof.go
+++ b/internal/webwire/proof.go
@@ -18,7 +18,6 @@
 type Progress struct {
 	Head  int // bytes of the request's head
 	Wrote int // bytes of the request that the connection took
-	Heard bool
 }
 
 // Ran tells whether the request may have run. It can't have before its whole head was on its way: there is no request then. From there on a
@@ -27,12 +26,12 @@
 
 // Result is what the end of an attempt without an answer proves.
 //
-//	             | not begun (never ran) | begun, nothing heard | something heard
-//	Ended        | NoConnection          | Broken               | Broken
-//	Spoilt       | -                     | -                    | Unknown
-//	CalledOff    | Cancelled             | Cancelled            | Cancelled
-//	TimeUp       | NotSent               | TimedOut             | TimedOut
-//	ClientCut    | -                     | -                    | Cancelled
+//	             | not begun (never ran) | begun
+//	Ended        | NoConnection          | Broken
+//	Spoilt       | -                     | Unknown
+//	CalledOff    | Cancelled             | Cancelled
+//	TimeUp       | NotSent               | TimedOut
+//	ClientCut    | -                     | Cancelled
 //
 // An attempt whose time was up before its head was written has told nothing about its backend: the network or this process was slow.
 func (p Progress) Result(why Why) decision.Result {
--- a/webfront/serve.go
+++ b/webfront/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -96,7 +95,7 @@
 	}
 	facts.Client = rules.Who.Client(facts.Peer, h)
 	if r.TLS != nil && len(r.TLS.VerifiedChains) > 0 {
-		facts.Cert = leaf(r.TLS.VerifiedChains)
+		facts.Cert = r.TLS.VerifiedChains[0][0]
 	}
 	if id, known := pumicecroft.IdentityFrom(r.Context()); known { // the host knows
 		p.Who = identity.Who{Customer: id.Customer, Plan: id.Plan, Rule: "host"}
@@ -136,8 +135,6 @@
 	return p, from
 }
 
-func leaf(chains [][]*x509.Certificate) *x509.Certificate { return chains[0][0] }
-
 // Or is a handler for hosts with routes of their own: what no route of the Front takes goes to next, untouched; all else is the Front's, refusals
 // among it.
 func (f *Front) Or(next http.Handler) http.Handler {
--- a/webfront/sink.go
+++ b/webfront/sink.go
@@ -46,7 +46,7 @@
 }
 
 // Head begins the answer.
-func (s *sink) Head(a *webback.Answer, length int64, due time.Time) {
+func (s *sink) Head(a *webback.Answer, due time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
