--- a/internal/operator/web.go
+++ b/internal/operator/web.go
@@ -10,6 +10,7 @@
 
 	"pumicecroft/decision"
 	"pumicecroft/identity"
+	"pumicecroft/internal/settings"
 	"pumicecroft/internal/webwire"
 	"pumicecroft/membership"
 	"pumicecroft/routes"
@@ -52,10 +53,10 @@
 
 // Problem is one with a key of the section.
 func (p Place) Problem(key string, err error) Problem {
-	return Problem{Line: p.Line, Key: join(p.Path, key), What: err.Error()}
+	return Problem{Line: p.Line, Key: settings.Join(p.Path, key), What: err.Error()}
 }
 
-func (s *section) place() Place { return Place{max(1, s.d.lines[s.path]), s.path} }
+func placeOf(s *settings.Section) Place { return Place{max(1, s.Line()), s.Path} }
 
 // Identity is one rule of who asks; what its Kind does not use is empty.
 type Identity struct {
@@ -120,8 +121,8 @@
 }
 
 // readServices reads [[service]], before classes: each brings a class of its own name, unless the file has one.
-func readServices(d *document, top *section, f *File) {
-	list := top.list("service")
+func readServices(d *settings.Document, top *settings.Section, f *File) {
+	list := top.List("service")
 	if list == nil {
 		return
 	}
@@ -130,46 +131,46 @@
 	seen := map[string]bool{}
 	for _, s := range list {
 		v := Service{}
-		v.Name = s.text("name", true)
+		v.Name = s.Text("name", true)
 		names(d, seen, s, v.Name)
-		for _, addr := range s.texts("backends") {
+		for _, addr := range s.Texts("backends") {
 			checkAddress(d, s, "backends", addr)
 			if slices.ContainsFunc(f.Backends.Nodes, func(n membership.Node) bool { return n.Name == v.Name+"/"+addr }) {
-				d.bad(s.path, "backends", "%q is there twice", addr)
+				d.Bad(s.Path, "backends", "%q is there twice", addr)
 			}
 			f.Backends.Nodes = append(f.Backends.Nodes, membership.Node{Name: v.Name + "/" + addr, Addr: addr, Weight: 1, Protocol: webfront.Protocol(v.Name)})
 		}
-		v.Conns = s.whole("backend_connections", 256, 1, many)
-		v.Connect = s.duration("connect_timeout", 0, time.Millisecond, time.Minute)
-		v.Idle = s.duration("idle_timeout", 15*time.Second, time.Millisecond, day)
-		if v.Hold = s.whole("hold", 64<<10, 0, 1<<30); v.Hold == 0 {
+		v.Conns = s.Whole("backend_connections", 256, 1, many)
+		v.Connect = s.Duration("connect_timeout", 0, time.Millisecond, time.Minute)
+		v.Idle = s.Duration("idle_timeout", 15*time.Second, time.Millisecond, day)
+		if v.Hold = s.Whole("hold", 64<<10, 0, 1<<30); v.Hold == 0 {
 			v.Hold = -1
 		}
-		v.H2 = s.oneOf("speaks", "http/1.1", "http/1.1", "h2") == 1
-		v.H2Conns = s.whole("h2_connections", 2, 1, many)
-		v.HostOfBackend = s.oneOf("host", "keep", "keep", "backend") == 1
-		if t := s.table("tls"); t.keys != nil {
+		v.H2 = s.OneOf("speaks", "http/1.1", "http/1.1", "h2") == 1
+		v.H2Conns = s.Whole("h2_connections", 2, 1, many)
+		v.HostOfBackend = s.OneOf("host", "keep", "keep", "backend") == 1
+		if t := s.Table("tls"); t.Keys != nil {
 			v.TLS = readServiceTLS(d, t)
 		}
 		c := readClass(d, s, v.Name)
-		s.done()
+		s.Done()
 		w.Services = append(w.Services, v)
 		f.classes = append(f.classes, class{c, true})
 	}
 }
 
-func readServiceTLS(d *document, s *section) *ServiceTLS {
-	t := &ServiceTLS{At: s.place(), CAFile: s.text("ca_file", false), Name: s.text("name", false), Pins: s.texts("pins"),
-		CertFile: s.text("cert_file", false), KeyFile: s.text("key_file", false)}
-	t.MinTLS12 = s.oneOf("min", "1.3", "1.3", "1.2") == 1
-	t.SkipCA = s.oneOf("verify", "ca", "ca", "pins") == 1
+func readServiceTLS(d *settings.Document, s *settings.Section) *ServiceTLS {
+	t := &ServiceTLS{At: placeOf(s), CAFile: s.Text("ca_file", false), Name: s.Text("name", false), Pins: s.Texts("pins"),
+		CertFile: s.Text("cert_file", false), KeyFile: s.Text("key_file", false)}
+	t.MinTLS12 = s.OneOf("min", "1.3", "1.3", "1.2") == 1
+	t.SkipCA = s.OneOf("verify", "ca", "ca", "pins") == 1
 	if t.SkipCA && len(t.Pins) == 0 {
-		d.bad(s.path, "verify", "there are no pins to go by")
+		d.Bad(s.Path, "verify", "there are no pins to go by")
 	}
 	if (t.CertFile == "") != (t.KeyFile == "") {
-		d.bad(s.path, "key_file", "cert_file and key_file go together")
+		d.Bad(s.Path, "key_file", "cert_file and key_file go together")
 	}
-	s.done()
+	s.Done()
 	return t
 }
 
@@ -180,74 +181,74 @@
 }
 
 // readWeb reads the rest of ordinary HTTP; classes and plans have been read.
-func readWeb(d *document, top *section, f *File) {
+func readWeb(d *settings.Document, top *settings.Section, f *File) {
 	w := f.Web
 	if w == nil {
 		for _, key := range []string{"route", "identity", "http", "tls"} {
-			if _, there := top.get(key); there {
-				d.bad("", key, "it is of no use without a [[service]]")
+			if _, there := top.Get(key); there {
+				d.Bad("", key, "it is of no use without a [[service]]")
 			}
 		}
 		return
 	}
-	readHTTP(d, top.table("http"), w)
+	readHTTP(d, top.Table("http"), w)
 	var plans []string
 	for _, p := range f.Door.Settings.Plans {
 		plans = append(plans, p.Name)
 	}
 	readRoutes(d, top, f)
 	readIdentities(d, top, w, plans)
-	if s := top.table("tls"); s.keys != nil {
+	if s := top.Table("tls"); s.Keys != nil {
 		w.TLS = readTLS(d, s)
 	}
 	for i, id := range w.Identities {
 		if id.Kind == "certificate" && (w.TLS == nil || w.TLS.ClientAuth == "none") {
-			d.bad(fmt.Sprintf("identity[%d]", i), "kind", "no client brings a certificate: [tls] with client_auth is missing")
+			d.Bad(fmt.Sprintf("identity[%d]", i), "kind", "no client brings a certificate: [tls] with client_auth is missing")
 		}
 	}
 }
 
-func readHTTP(d *document, s *section, w *Web) {
+func readHTTP(d *settings.Document, s *settings.Section, w *Web) {
 	c := &w.Front
-	for _, text := range s.texts("trusted") {
+	for _, text := range s.Texts("trusted") {
 		p, err := netip.ParsePrefix(text)
 		if a, e := netip.ParseAddr(text); e == nil {
 			p, err = netip.PrefixFrom(a, a.BitLen()), nil
 		}
 		if err != nil {
-			d.bad(s.path, "trusted", "%q is no address nor a prefix such as 10.0.0.0/8", text)
+			d.Bad(s.Path, "trusted", "%q is no address nor a prefix such as 10.0.0.0/8", text)
 			continue
 		}
 		w.Trusted = append(w.Trusted, p.Masked())
 	}
-	c.Style = []webfront.Style{webfront.XForwarded, webfront.Forwarded, webfront.Untold}[s.oneOf("forwarded", "x-forwarded", "x-forwarded", "rfc7239", "none")]
+	c.Style = []webfront.Style{webfront.XForwarded, webfront.Forwarded, webfront.Untold}[s.OneOf("forwarded", "x-forwarded", "x-forwarded", "rfc7239", "none")]
 	field := func(key, usual string) string {
 		v := usual
-		if _, there := s.get(key); there {
-			v = s.text(key, false)
+		if _, there := s.Get(key); there {
+			v = s.Text(key, false)
 		}
-		return s.field(key, v)
+		return field(s, key, v)
 	}
-	if c.Via = s.text("via", false); c.Via != "" && !webwire.IsName(c.Via) {
-		d.bad(s.path, "via", "%q is no pseudonym that Via can hold", c.Via)
+	if c.Via = s.Text("via", false); c.Via != "" && !webwire.IsName(c.Via) {
+		d.Bad(s.Path, "via", "%q is no pseudonym that Via can hold", c.Via)
 	}
 	c.TimeoutIn, c.LeftIn, c.IDIn, c.KeyIn = field("timeout_header", ""), field("left_header", ""), field("id_header", "X-Request-Id"), field("key_header", "Idempotency-Key")
-	c.Strict = s.yes("strict", false)
-	c.BodyTimeout = s.duration("body_timeout", 10*time.Second, time.Millisecond, time.Hour)
-	c.BodyMemory = int64(s.whole("body_memory", 64<<20, 1, 1<<40))
-	c.MostKeyed = s.whole("most_keyed_answer", 1<<20, 1, 1<<30)
-	s.done()
+	c.Strict = s.Yes("strict", false)
+	c.BodyTimeout = s.Duration("body_timeout", 10*time.Second, time.Millisecond, time.Hour)
+	c.BodyMemory = int64(s.Whole("body_memory", 64<<20, 1, 1<<40))
+	c.MostKeyed = s.Whole("most_keyed_answer", 1<<20, 1, 1<<30)
+	s.Done()
 }
 
 // field checks that a text can be a field's name.
-func (s *section) field(key, v string) string {
+func field(s *settings.Section, key, v string) string {
 	if v != "" && !webwire.IsName(v) {
-		s.d.bad(s.path, key, "%q can't be a field's name", v)
+		s.Bad(key, "%q can't be a field's name", v)
 	}
 	return webwire.Canonical(v)
 }
 
-func readRoutes(d *document, top *section, f *File) {
+func readRoutes(d *settings.Document, top *settings.Section, f *File) {
 	w := f.Web
 	classOf := map[string]webfront.Classes{}
 	for _, c := range f.classes {
@@ -260,11 +261,11 @@
 	serves := func(name string) bool {
 		return slices.ContainsFunc(w.Services, func(s Service) bool { return s.Name == name })
 	}
-	list := top.list("route")
+	list := top.List("route")
 	for i, s := range list {
 		to := &webfront.Route{}
-		r := routes.Rule[*webfront.Route]{Name: s.text("name", false), Line: s.place().Line, Host: s.text("host", false), Path: s.text("path", false),
-			Methods: s.texts("methods"), To: to}
+		r := routes.Rule[*webfront.Route]{Name: s.Text("name", false), Line: placeOf(s).Line, Host: s.Text("host", false), Path: s.Text("path", false),
+			Methods: s.Texts("methods"), To: to}
 		if r.Name == "" {
 			r.Name = fmt.Sprintf("route %d", i)
 		}
@@ -272,41 +273,41 @@
 			r.Path = "/{rest...}"
 		}
 		conditions := func(key string) (out []routes.Condition) {
-			for _, text := range s.texts(key) {
+			for _, text := range s.Texts(key) {
 				name, value, _ := strings.Cut(text, "=")
 				out = append(out, routes.Condition{Name: name, Value: value})
 			}
 			return out
 		}
 		r.Headers, r.Query = conditions("headers"), conditions("query")
-		if to.Refuse = s.whole("refuse", 0, 400, 599); to.Refuse == 0 {
-			if to.Service = s.text("service", len(w.Services) > 1); to.Service == "" && len(w.Services) > 0 {
+		if to.Refuse = s.Whole("refuse", 0, 400, 599); to.Refuse == 0 {
+			if to.Service = s.Text("service", len(w.Services) > 1); to.Service == "" && len(w.Services) > 0 {
 				to.Service = w.Services[0].Name
 			}
 			if !serves(to.Service) {
-				d.bad(s.path, "service", "there is no service %q", to.Service)
+				d.Bad(s.Path, "service", "there is no service %q", to.Service)
 			}
-			name := s.text("class", false)
+			name := s.Text("class", false)
 			if name == "" {
 				name = to.Service
 			}
 			var there bool
 			if to.Class, there = classOf[name]; !there && serves(to.Service) {
-				d.bad(s.path, "class", "there is no class %q", name)
+				d.Bad(s.Path, "class", "there is no class %q", name)
 			}
-			if _, there := s.get("effect"); there {
-				e := decision.Effect(s.oneOf("effect", "safe", "safe", "keyed", "unsafe"))
+			if _, there := s.Get("effect"); there {
+				e := decision.Effect(s.OneOf("effect", "safe", "safe", "keyed", "unsafe"))
 				to.Effect = &e
 			}
-			to.Units = s.number("units", 0, 0, any_)
-			to.Timeout = s.duration("timeout", 0, time.Millisecond, time.Hour)
-			to.MaxBody = int64(s.whole("max_body", 1<<20, 0, 1<<40))
-			to.Statuses = webfront.Statuses{Answered: s.wholes("answered"), Refused: s.wholes("refused"), Failed: s.wholes("failed")}
+			to.Units = s.Number("units", 0, 0, any_)
+			to.Timeout = s.Duration("timeout", 0, time.Millisecond, time.Hour)
+			to.MaxBody = int64(s.Whole("max_body", 1<<20, 0, 1<<40))
+			to.Statuses = webfront.Statuses{Answered: s.Wholes("answered"), Refused: s.Wholes("refused"), Failed: s.Wholes("failed")}
 			if err := to.Statuses.Check(); err != nil {
-				d.bad(s.path, "failed", "%v", err)
+				d.Bad(s.Path, "failed", "%v", err)
 			}
 		}
-		s.done()
+		s.Done()
 		w.Routes = append(w.Routes, r)
 	}
 	if len(list) == 0 {
@@ -314,7 +315,7 @@
 			w.Routes = append(w.Routes, routes.Rule[*webfront.Route]{Name: "all", Line: 1, Path: "/{rest...}", To: &webfront.Route{Service: s.Name, Class: classOf[s.Name]}})
 		}
 		if len(w.Services) > 1 {
-			d.bad("", "route", "there is none, and there are several services: [[route]] with a service and a host or path")
+			d.Bad("", "route", "there is none, and there are several services: [[route]] with a service and a host or path")
 		}
 	}
 	var err error
@@ -327,98 +328,98 @@
 			if p.Other > 0 {
 				p.What += fmt.Sprintf(" (line %d)", p.Other)
 			}
-			d.problems = append(d.problems, Problem{Line: p.Line, Key: at, What: p.What})
+			d.Add(Problem{Line: p.Line, Key: at, What: p.What})
 		}
 	}
 }
 
-func readIdentities(d *document, top *section, w *Web, plans []string) {
+func readIdentities(d *settings.Document, top *settings.Section, w *Web, plans []string) {
 	usual := ""
 	if len(plans) > 0 {
 		usual = plans[0]
 	}
-	list := top.list("identity")
+	list := top.List("identity")
 	for i, s := range list {
 		kinds := []string{"key", "header", "certificate", "token", "address"}
-		id := Identity{At: s.place(), Kind: kinds[s.oneOf("kind", "", kinds...)]}
-		if _, there := s.get("kind"); !there {
-			d.bad(s.path, "kind", "it is missing: one of %s", strings.Join(kinds, ", "))
+		id := Identity{At: placeOf(s), Kind: kinds[s.OneOf("kind", "", kinds...)]}
+		if _, there := s.Get("kind"); !there {
+			d.Bad(s.Path, "kind", "it is missing: one of %s", strings.Join(kinds, ", "))
 		}
-		if id.Name = s.text("name", false); id.Name == "" {
+		if id.Name = s.Text("name", false); id.Name == "" {
 			id.Name = fmt.Sprintf("%s %d", id.Kind, i)
 		}
 		plan := func(must bool) {
-			id.Plan = s.text("plan", must)
+			id.Plan = s.Text("plan", must)
 			if id.Plan != "" && !slices.Contains(plans, id.Plan) {
-				d.bad(s.path, "plan", "there is no plan %q", id.Plan)
+				d.Bad(s.Path, "plan", "there is no plan %q", id.Plan)
 			}
 		}
 		field := func(key, usual string, must bool) string {
-			v := s.text(key, must && usual == "")
+			v := s.Text(key, must && usual == "")
 			if v == "" {
 				v = usual
 			}
-			return s.field(key, v)
+			return field(s, key, v)
 		}
 		switch id.Kind {
 		case "key":
-			id.Field, id.Scheme, id.File = field("header", "X-Api-Key", true), s.text("scheme", false), s.text("file", true)
-			if s.yes("remove", true) {
+			id.Field, id.Scheme, id.File = field("header", "X-Api-Key", true), s.Text("scheme", false), s.Text("file", true)
+			if s.Yes("remove", true) {
 				w.Remove = append(w.Remove, id.Field)
 			}
 		case "header":
-			id.Field, id.PlanIn, id.UnitsIn, id.Hex = field("customer", "", true), field("plan_header", "", false), field("units_header", "", false), s.yes("hex", false)
+			id.Field, id.PlanIn, id.UnitsIn, id.Hex = field("customer", "", true), field("plan_header", "", false), field("units_header", "", false), s.Yes("hex", false)
 			plan(id.PlanIn == "")
 			if len(w.Trusted) == 0 {
-				d.bad(s.path, "kind", "nobody is trusted to set a header: [http] trusted is missing")
+				d.Bad(s.Path, "kind", "nobody is trusted to set a header: [http] trusted is missing")
 			}
 		case "certificate":
-			id.CertName = identity.CertName(s.oneOf("customer", "cn", "cn", "dns", "uri", "key"))
+			id.CertName = identity.CertName(s.OneOf("customer", "cn", "cn", "dns", "uri", "key"))
 			id.PlanOf = map[string]string{}
 			plan(false)
-			for _, text := range s.texts("plans") {
+			for _, text := range s.Texts("plans") {
 				name, p, ok := strings.Cut(text, "=")
 				if !ok || !slices.Contains(plans, p) {
-					d.bad(s.path, "plans", "%q is not NAME=PLAN with a plan that there is", text)
+					d.Bad(s.Path, "plans", "%q is not NAME=PLAN with a plan that there is", text)
 				}
 				id.PlanOf[name] = p
 			}
 			if id.Plan == "" && len(id.PlanOf) == 0 {
-				d.bad(s.path, "plan", "it is missing, and so is plans")
+				d.Bad(s.Path, "plan", "it is missing, and so is plans")
 			}
 		case "token":
-			id.Field, id.Scheme = field("header", "Authorization", true), s.text("scheme", false)
+			id.Field, id.Scheme = field("header", "Authorization", true), s.Text("scheme", false)
 			if id.Scheme == "" && id.Field == "Authorization" {
 				id.Scheme = "Bearer"
 			}
-			id.Algorithms = s.texts("algorithms")
+			id.Algorithms = s.Texts("algorithms")
 			if len(id.Algorithms) == 0 {
-				d.bad(s.path, "algorithms", "it is missing: the ones that tokens are signed by, such as [\"ES256\"]")
+				d.Bad(s.Path, "algorithms", "it is missing: the ones that tokens are signed by, such as [\"ES256\"]")
 			}
 			for _, a := range id.Algorithms {
 				if err := identity.CheckAlgorithm(a); err != nil {
-					d.bad(s.path, "algorithms", "%v", err)
+					d.Bad(s.Path, "algorithms", "%v", err)
 				}
 			}
-			keys, secret := s.text("keys_file", false), s.text("secret_file", false)
+			keys, secret := s.Text("keys_file", false), s.Text("secret_file", false)
 			if (keys == "") == (secret == "") {
-				d.bad(s.path, "keys_file", "either keys_file, with public keys in PEM, or secret_file")
+				d.Bad(s.Path, "keys_file", "either keys_file, with public keys in PEM, or secret_file")
 			}
 			id.File, id.Secret = keys+secret, secret != ""
-			id.Issuer, id.Audience, id.CustomerIn, id.PlanIn = s.text("issuer", false), s.text("audience", true), s.text("customer", false), s.text("plan_claim", false)
-			id.Leeway = s.duration("leeway", 0, 0, time.Hour)
+			id.Issuer, id.Audience, id.CustomerIn, id.PlanIn = s.Text("issuer", false), s.Text("audience", true), s.Text("customer", false), s.Text("plan_claim", false)
+			id.Leeway = s.Duration("leeway", 0, 0, time.Hour)
 			plan(id.PlanIn == "")
-			if s.yes("remove", false) {
+			if s.Yes("remove", false) {
 				w.Remove = append(w.Remove, id.Field)
 			}
 		case "address":
 			plan(true)
-			id.V6 = s.whole("v6_bits", 64, 16, 128)
+			id.V6 = s.Whole("v6_bits", 64, 16, 128)
 			if i != len(list)-1 {
-				d.bad(s.path, "kind", "everyone has an address: what follows is never looked at")
+				d.Bad(s.Path, "kind", "everyone has an address: what follows is never looked at")
 			}
 		}
-		s.done()
+		s.Done()
 		w.Identities = append(w.Identities, id)
 	}
 	if len(list) == 0 {
@@ -426,45 +427,26 @@
 	}
 }
 
-func readTLS(d *document, s *section) *TLS {
-	t := &TLS{At: s.place(), ClientCAFile: s.text("client_ca_file", false)}
-	t.MinTLS12 = s.oneOf("min", "1.3", "1.3", "1.2") == 1
+func readTLS(d *settings.Document, s *settings.Section) *TLS {
+	t := &TLS{At: placeOf(s), ClientCAFile: s.Text("client_ca_file", false)}
+	t.MinTLS12 = s.OneOf("min", "1.3", "1.3", "1.2") == 1
 	auth := []string{"none", "ask", "require"}
-	t.ClientAuth = auth[s.oneOf("client_auth", "none", auth...)]
-	t.Every = s.duration("reload_every", 10*time.Second, 10*time.Millisecond, day)
+	t.ClientAuth = auth[s.OneOf("client_auth", "none", auth...)]
+	t.Every = s.Duration("reload_every", 10*time.Second, 10*time.Millisecond, day)
 	if (t.ClientCAFile == "") != (t.ClientAuth == "none") {
-		d.bad(s.path, "client_auth", "client_ca_file and a client_auth of ask or require go together")
+		d.Bad(s.Path, "client_auth", "client_ca_file and a client_auth of ask or require go together")
 	}
-	for _, e := range s.list("certificate") {
-		t.Certificates = append(t.Certificates, Certificate{e.place(), e.text("cert_file", true), e.text("key_file", true)})
-		e.done()
+	for _, e := range s.List("certificate") {
+		t.Certificates = append(t.Certificates, Certificate{placeOf(e), e.Text("cert_file", true), e.Text("key_file", true)})
+		e.Done()
 	}
 	if len(t.Certificates) == 0 {
-		d.bad(s.path, "certificate", "there is none: [[tls.certificate]] with cert_file and key_file")
+		d.Bad(s.Path, "certificate", "there is none: [[tls.certificate]] with cert_file and key_file")
 	}
-	s.done()
+	s.Done()
 	return t
 }
 
-// wholes gives a list of whole numbers.
-func (s *section) wholes(key string) (out []int) {
-	v, ok := s.get(key)
-	if !ok {
-		return nil
-	}
-	all, isList := v.([]any)
-	for _, e := range all {
-		n, isWhole := e.(int64)
-		isList = isList && isWhole
-		out = append(out, int(n))
-	}
-	if !isList {
-		s.d.bad(s.path, key, "it is not a list of whole numbers")
-		return nil
-	}
-	return out
-}
-
 // HostOf gives the host of a backend's address, with its port unless it is the scheme's own.
 func HostOf(addr string, tls bool) string {
 	host, port, err := net.SplitHostPort(addr)
--- a/internal/operator/reader.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,6 @@
-package operator
+// Package settings reads TOML files key by key, such as an operator's or an experiment's: every problem of a file is found in one go and
+// names its key and line, and a key that nobody asks for is a problem, as it may be one misspelt. It reads text; files are the caller's.
+package settings
 
 import (
 	"fmt"
@@ -39,17 +41,17 @@
 	return strings.Join(lines, "\n")
 }
 
-// document is a file that is read key by key, so that every problem is found and each has its line.
-type document struct {
-	root     map[string]any
+// Document is a file that is read key by key, so that every problem is found and each has its line.
+type Document struct {
+	Root     map[string]any
 	lines    map[string]int // of keys and tables, by path
 	problems Problems
 }
 
-// parse reads a file's text as TOML.
-func parse(text []byte) (*document, error) {
-	d := &document{root: map[string]any{}, lines: map[string]int{}}
-	if err := toml.Unmarshal(text, &d.root); err != nil {
+// Parse reads a file's text as TOML.
+func Parse(text []byte) (*Document, error) {
+	d := &Document{Root: map[string]any{}, lines: map[string]int{}}
+	if err := toml.Unmarshal(text, &d.Root); err != nil {
 		if de, ok := err.(*toml.DecodeError); ok {
 			line, _ := de.Position()
 			return nil, Problems{{Line: line, Key: strings.Join(de.Key(), "."), What: de.Error()}}
@@ -61,7 +63,7 @@
 }
 
 // index notes the line of each key and table. The text is known to be TOML.
-func (d *document) index(text []byte) {
+func (d *Document) index(text []byte) {
 	var p unstable.Parser
 	p.Reset(text)
 	table := ""
@@ -80,7 +82,7 @@
 		case unstable.Table, unstable.ArrayTable: // what is below a list of tables is its last one's
 			table = ""
 			for i, part := range parts {
-				if table = join(table, part); e.Kind == unstable.ArrayTable && i == len(parts)-1 {
+				if table = Join(table, part); e.Kind == unstable.ArrayTable && i == len(parts)-1 {
 					counts[table]++
 				}
 				if n := counts[table]; n > 0 {
@@ -89,21 +91,22 @@
 			}
 			d.lines[table] = line
 		case unstable.KeyValue:
-			d.lines[join(table, strings.Join(parts, "."))] = line
+			d.lines[Join(table, strings.Join(parts, "."))] = line
 		}
 	}
 }
 
-func join(table, key string) string {
+// Join is the path of a key in a table.
+func Join(table, key string) string {
 	if table == "" {
 		return key
 	}
 	return table + "." + key
 }
 
-// bad notes a problem at a key, or at the table that lacks it.
-func (d *document) bad(table, key, format string, args ...any) {
-	path := join(table, key)
+// Bad notes a problem at a key, or at the table that lacks it.
+func (d *Document) Bad(table, key, format string, args ...any) {
+	path := Join(table, key)
 	line, ok := d.lines[path]
 	if !ok {
 		line = d.lines[table]
@@ -111,8 +114,14 @@
 	d.problems = append(d.problems, Problem{Line: max(line, 1), Key: path, What: fmt.Sprintf(format, args...)})
 }
 
-// result gives all problems by line, or nil.
-func (d *document) result() error {
+// Line is where a key or table stands, from 1; 0: nowhere.
+func (d *Document) Line(path string) int { return d.lines[path] }
+
+// Place says where a key stands that was put there from elsewhere.
+func (d *Document) Place(path string, line int) { d.lines[path] = line }
+
+// Result gives all problems by line, or nil.
+func (d *Document) Result() error {
 	if len(d.problems) == 0 {
 		return nil
 	}
@@ -120,54 +129,55 @@
 	return d.problems
 }
 
-// section is one table of a document. A key that is not asked for is a problem, as it may be one misspelt.
-type section struct {
-	d     *document
-	path  string
-	keys  map[string]any
+// Section is one table of a Document. A key that is not asked for is a problem, as it may be one misspelt.
+type Section struct {
+	d     *Document
+	Path  string
+	Keys  map[string]any // nil: it is not there
 	asked map[string]bool
 }
 
-func (d *document) top() *section { return &section{d, "", d.root, map[string]bool{}} }
+// Top is the document's own table.
+func (d *Document) Top() *Section { return &Section{d, "", d.Root, map[string]bool{}} }
 
-// table gives the table of a name; one that is not there is empty.
-func (s *section) table(name string) *section {
+// Table gives the table of a name; one that is not there is empty.
+func (s *Section) Table(name string) *Section {
 	s.asked[name] = true
-	path := join(s.path, name)
-	v, ok := s.keys[name]
+	path := Join(s.Path, name)
+	v, ok := s.Keys[name]
 	m, isTable := v.(map[string]any)
 	if ok && !isTable {
-		s.d.bad(s.path, name, "it is %s, not a table", kind(v))
+		s.d.Bad(s.Path, name, "it is %s, not a table", kind(v))
 	}
-	return &section{s.d, path, m, map[string]bool{}}
+	return &Section{s.d, path, m, map[string]bool{}}
 }
 
-// list gives the tables of a name.
-func (s *section) list(name string) []*section {
+// List gives the tables of a name.
+func (s *Section) List(name string) []*Section {
 	s.asked[name] = true
-	v, ok := s.keys[name]
+	v, ok := s.Keys[name]
 	if !ok {
 		return nil
 	}
-	var out []*section
+	var out []*Section
 	all, isList := v.([]any)
 	for i, e := range all {
 		m, isTable := e.(map[string]any)
 		isList = isList && isTable
-		out = append(out, &section{s.d, fmt.Sprintf("%s[%d]", join(s.path, name), i), m, map[string]bool{}})
+		out = append(out, &Section{s.d, fmt.Sprintf("%s[%d]", Join(s.Path, name), i), m, map[string]bool{}})
 	}
 	if !isList {
-		s.d.bad(s.path, name, "it is %s, not a list of tables ([[%s]])", kind(v), name)
+		s.d.Bad(s.Path, name, "it is %s, not a list of tables ([[%s]])", kind(v), name)
 		return nil
 	}
 	return out
 }
 
-// done notes the keys that nobody has asked for.
-func (s *section) done() {
-	for key := range s.keys {
+// Done notes the keys that nobody has asked for.
+func (s *Section) Done() {
+	for key := range s.Keys {
 		if !s.asked[key] {
-			s.d.bad(s.path, key, "no such key; there are %s", strings.Join(slices.Sorted(func(yield func(string) bool) {
+			s.d.Bad(s.Path, key, "no such key; there are %s", strings.Join(slices.Sorted(func(yield func(string) bool) {
 				for k := range s.asked {
 					if !yield(k) {
 						return
@@ -196,30 +206,31 @@
 	return "a date or time"
 }
 
-func (s *section) get(key string) (any, bool) {
+// Get gives a value as it stands.
+func (s *Section) Get(key string) (any, bool) {
 	s.asked[key] = true
-	v, ok := s.keys[key]
+	v, ok := s.Keys[key]
 	return v, ok
 }
 
-// text gives a text; must tells that it has to be there and not be empty.
-func (s *section) text(key string, must bool) string {
-	v, ok := s.get(key)
+// Text gives a text; must tells that it has to be there and not be empty.
+func (s *Section) Text(key string, must bool) string {
+	v, ok := s.Get(key)
 	t, isText := v.(string)
 	switch {
 	case !ok && must:
-		s.d.bad(s.path, key, "it is missing")
+		s.d.Bad(s.Path, key, "it is missing")
 	case ok && !isText:
-		s.d.bad(s.path, key, "it is %s, not a text", kind(v))
+		s.d.Bad(s.Path, key, "it is %s, not a text", kind(v))
 	case ok && must && t == "":
-		s.d.bad(s.path, key, "it is empty")
+		s.d.Bad(s.Path, key, "it is empty")
 	}
 	return t
 }
 
-// texts gives a list of texts; nil: there is none.
-func (s *section) texts(key string) []string {
-	v, ok := s.get(key)
+// Texts gives a list of texts; nil: there is none.
+func (s *Section) Texts(key string) []string {
+	v, ok := s.Get(key)
 	if !ok {
 		return nil
 	}
@@ -231,22 +242,22 @@
 		out = append(out, t)
 	}
 	if !isList {
-		s.d.bad(s.path, key, "it is not a list of texts")
+		s.d.Bad(s.Path, key, "it is not a list of texts")
 		return nil
 	}
 	return out
 }
 
-// oneOf gives a text's place among the ones that there are.
-func (s *section) oneOf(key, usual string, names ...string) int {
-	v, ok := s.get(key)
+// OneOf gives a text's place among the ones that there are.
+func (s *Section) OneOf(key, usual string, names ...string) int {
+	v, ok := s.Get(key)
 	if !ok {
 		return max(0, slices.Index(names, usual))
 	}
 	t, _ := v.(string)
 	i := slices.Index(names, t)
 	if i < 0 {
-		s.d.bad(s.path, key, "%s is none of %s", show(v), strings.Join(names, ", "))
+		s.d.Bad(s.Path, key, "%s is none of %s", show(v), strings.Join(names, ", "))
 	}
 	return max(0, i)
 }
@@ -258,9 +269,9 @@
 	return fmt.Sprint(v)
 }
 
-// number gives a number between two bounds.
-func (s *section) number(key string, usual, least, most float64) float64 {
-	v, ok := s.get(key)
+// Number gives a number between two bounds.
+func (s *Section) Number(key string, usual, least, most float64) float64 {
+	v, ok := s.Get(key)
 	if !ok {
 		return usual
 	}
@@ -270,9 +281,9 @@
 	}
 	switch {
 	case !isNumber:
-		s.d.bad(s.path, key, "it is %s, not a number", kind(v))
+		s.d.Bad(s.Path, key, "it is %s, not a number", kind(v))
 	case !(n >= least && n <= most):
-		s.d.bad(s.path, key, "%s is not from %s to %s", show(v), bound(least), bound(most))
+		s.d.Bad(s.Path, key, "%s is not from %s to %s", show(v), bound(least), bound(most))
 	default:
 		return n
 	}
@@ -286,27 +297,27 @@
 	return strconv.FormatFloat(v, 'g', -1, 64)
 }
 
-// whole gives a whole number between two bounds.
-func (s *section) whole(key string, usual, least, most int) int {
-	v, ok := s.get(key)
+// Whole gives a whole number between two bounds.
+func (s *Section) Whole(key string, usual, least, most int) int {
+	v, ok := s.Get(key)
 	if !ok {
 		return usual
 	}
 	n, isWhole := v.(int64)
 	switch {
 	case !isWhole:
-		s.d.bad(s.path, key, "it is %s, not a whole number", kind(v))
+		s.d.Bad(s.Path, key, "it is %s, not a whole number", kind(v))
 	case n < int64(least) || n > int64(most):
-		s.d.bad(s.path, key, "%d is not from %d to %d", n, least, most)
+		s.d.Bad(s.Path, key, "%d is not from %d to %d", n, least, most)
 	default:
 		return int(n)
 	}
 	return usual
 }
 
-// duration gives a time such as "250ms", between two bounds.
-func (s *section) duration(key string, usual, least, most time.Duration) time.Duration {
-	v, ok := s.get(key)
+// Duration gives a time such as "250ms", between two bounds.
+func (s *Section) Duration(key string, usual, least, most time.Duration) time.Duration {
+	v, ok := s.Get(key)
 	if !ok {
 		return usual
 	}
@@ -314,25 +325,53 @@
 	d, err := time.ParseDuration(t)
 	switch {
 	case !isText || err != nil:
-		s.d.bad(s.path, key, `%s is no time such as "250ms" or "2s"`, show(v))
+		s.d.Bad(s.Path, key, `%s is no time such as "250ms" or "2s"`, show(v))
 	case d < least || d > most:
-		s.d.bad(s.path, key, "%v is not from %v to %v", d, least, most)
+		s.d.Bad(s.Path, key, "%v is not from %v to %v", d, least, most)
 	default:
 		return d
 	}
 	return usual
 }
 
-// yes gives true or false.
-func (s *section) yes(key string, usual bool) bool {
-	v, ok := s.get(key)
+// Yes gives true or false.
+func (s *Section) Yes(key string, usual bool) bool {
+	v, ok := s.Get(key)
 	if !ok {
 		return usual
 	}
 	b, isBool := v.(bool)
 	if !isBool {
-		s.d.bad(s.path, key, "it is %s, not true or false", kind(v))
+		s.d.Bad(s.Path, key, "it is %s, not true or false", kind(v))
 		return usual
 	}
 	return b
 }
+
+// Wholes gives a list of whole numbers.
+func (s *Section) Wholes(key string) (out []int) {
+	v, ok := s.Get(key)
+	if !ok {
+		return nil
+	}
+	all, isList := v.([]any)
+	for _, e := range all {
+		n, isWhole := e.(int64)
+		isList = isList && isWhole
+		out = append(out, int(n))
+	}
+	if !isList {
+		s.d.Bad(s.Path, key, "it is not a list of whole numbers")
+		return nil
+	}
+	return out
+}
+
+// Line is where the table stands, from 1; 0: nowhere.
+func (s *Section) Line() int { return s.d.lines[s.Path] }
+
+// Bad notes a problem at a key of the table.
+func (s *Section) Bad(key, format string, args ...any) { s.d.Bad(s.Path, key, format, args...) }
+
+// Add notes a problem whose place is known already.
+func (d *Document) Add(p Problem) { d.problems = append(d.problems, p) }
