--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -10,55 +10,21 @@
 package sim
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"pumicecroft/internal/virtual"
+
 	"github.com/cespare/xxhash/v2"
 )
 
-// event is something that will happen.
-type event struct {
-	at    time.Duration
-	order uint64 // among events of one instant: by chance, so that seeds try every order
-	seq   uint64
-	do    func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-
-func (q events) Less(i, j int) bool {
-	a, b := q[i], q[j]
-	if a.at != b.at {
-		return a.at < b.at
-	}
-	if a.order != b.order {
-		return a.order < b.order
-	}
-	return a.seq < b.seq
-}
-
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-func (q *events) Push(x any) { *q = append(*q, x.(event)) }
-
-func (q *events) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	(*q)[last] = event{}
-	*q = (*q)[:last]
-	return e
-}
-
 // world is the clock and all that happens by it.
 type world struct {
 	seed  uint64
 	now   time.Duration
-	queue events
+	queue virtual.Queue[func()]
 	seq   uint64
 	steps int
 	hash  xxhash.Digest // of the trace
@@ -78,25 +44,15 @@
 
 // chance is a source of chance that hangs on the seed and the numbers given alone: what is taken out of a script leaves the
 // chance of everything else as it was.
-func (w *world) chance(of ...uint64) *rand.Rand {
-	a, b := w.seed, uint64(0x9e3779b97f4a7c15)
-	for _, v := range of {
-		a, b = mix(a^v), mix(b+v)
-	}
-	return rand.New(rand.NewPCG(a, b))
-}
+func (w *world) chance(of ...uint64) *rand.Rand { return virtual.Chance(w.seed, of...) }
 
-// mix is the finish of splitmix64.
-func mix(z uint64) uint64 {
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
+// mix makes different numbers of different ones.
+func mix(z uint64) uint64 { return virtual.Mix(z) }
 
 // after lets something happen later, or at this instant once what happens now is over.
 func (w *world) after(d time.Duration, do func()) {
 	w.seq++
-	heap.Push(&w.queue, event{at: w.now + max(0, d), order: mix(w.seed ^ w.seq), seq: w.seq, do: do})
+	w.queue.Push(w.now+max(0, d), mix(w.seed^w.seq), do) // among events of one instant by chance, so that seeds try every order
 }
 
 // at lets something happen at a time that is not before now.
@@ -130,11 +86,14 @@
 
 // run lets things happen until a time, a number of steps, or a violation.
 func (w *world) run(until time.Duration, steps int) {
-	for len(w.queue) > 0 && w.queue[0].at <= until && w.steps < steps && len(w.found) == 0 {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
+	for w.steps < steps && len(w.found) == 0 {
+		if at, ok := w.queue.Next(); !ok || at > until {
+			return
+		}
+		var do func()
+		w.now, do = w.queue.Pop()
 		w.steps++
-		e.do()
+		do()
 	}
 }
 
--- /dev/null
+++ b/internal/virtual/virtual_test.go
@@ -0,0 +1,107 @@
+package virtual
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// plain is a queue on container/heap.
+type plain []entry[uint64]
+
+func (q plain) Len() int           { return len(q) }
+func (q plain) Less(i, j int) bool { return q[i].before(&q[j]) }
+func (q plain) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *plain) Push(x any)        { *q = append(*q, x.(entry[uint64])) }
+func (q *plain) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// Whatever is put in and taken out in whatever order, it comes by time, then by order.
+func TestQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue[uint64]
+		var model []entry[uint64]
+		order := uint64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			if len(model) > 0 && rapid.IntRange(0, 2).Draw(t, "take") == 0 {
+				slices.SortFunc(model, func(a, b entry[uint64]) int {
+					if a.before(&b) {
+						return -1
+					}
+					return 1
+				})
+				next, ok := q.Next()
+				if at, v := q.Pop(); at != model[0].at || v != model[0].value || next != at || !ok {
+					t.Fatalf("%v %d, want %v", at, v, model[0])
+				}
+				model = model[1:]
+			} else {
+				order++
+				e := entry[uint64]{time.Duration(rapid.IntRange(0, 9).Draw(t, "at")), Mix(order), order}
+				q.Push(e.at, e.order, e.value)
+				model = append(model, e)
+			}
+			if q.Len() != len(model) {
+				t.Fatalf("it holds %d of %d", q.Len(), len(model))
+			}
+		}
+	})
+	if _, ok := new(Queue[int]).Next(); ok {
+		t.Error("an empty queue has a next")
+	}
+}
+
+// Chance hangs on its purpose alone, and is even.
+func TestChance(t *testing.T) {
+	if Chance(1, 2, 3).Uint64() != Chance(1, 2, 3).Uint64() || Chance(1, 2, 3).Uint64() == Chance(1, 3, 2).Uint64() || Chance(1, 2).Uint64() == Chance(2, 2).Uint64() {
+		t.Error("chance does not hang on seed and purpose alone")
+	}
+	var parts [10]int
+	for i := range uint64(100_000) {
+		parts[int(10*Unit(7, i))]++
+	}
+	for i, n := range parts {
+		if n < 9_700 || n > 10_300 {
+			t.Errorf("%d of 100,000 in part %d of 10", n, i)
+		}
+	}
+}
+
+// BenchmarkQueue takes the earliest and puts another one later, with n there.
+func BenchmarkQueue(b *testing.B) {
+	for _, n := range []int{100, 10_000, 1_000_000} {
+		rng := rand.New(rand.NewPCG(1, 1))
+		name := map[int]string{100: "100", 10_000: "10,000", 1_000_000: "1,000,000"}[n]
+		b.Run("four/"+name, func(b *testing.B) {
+			var q Queue[uint64]
+			for i := range uint64(n) {
+				q.Push(time.Duration(rng.IntN(n)), i, i)
+			}
+			order := uint64(n)
+			for b.Loop() {
+				at, v := q.Pop()
+				order++
+				q.Push(at+time.Duration(rng.IntN(n)), order, v)
+			}
+		})
+		b.Run("container/"+name, func(b *testing.B) {
+			q := &plain{}
+			for i := range uint64(n) {
+				heap.Push(q, entry[uint64]{time.Duration(rng.IntN(n)), i, i})
+			}
+			order := uint64(n)
+			for b.Loop() {
+				e := heap.Pop(q).(entry[uint64])
+				order++
+				heap.Push(q, entry[uint64]{e.at + time.Duration(rng.IntN(n)), order, e.value})
+			}
+		})
+	}
+}
