Laboratory: an emulated region, and verdicts on paired runs

Whoever changes a limit or a retry rule must see what it does at large size, with error bars. internal/region (pure) emulates doors, backends, clients and what befalls them, an event for a message, on the seeded world's clock and chance; at each door the shipped core runs, with the decision module or four plain policies. It is divided into shards that go on for a network's least time without hearing of each other, so many cores may run one region. internal/paired (pure) compares ways pair by pair.

--- a/purity_test.go
+++ b/purity_test.go
@@ -14,14 +14,14 @@
 
 // purePackages do no I/O, read no clock, take no lock and start no goroutine, so that the same code runs under
 // real sockets, under a virtual clock and in the simulator.
-var purePackages = []string{"decision", "keys", "internal/journal", "internal/simdisk", "routes", "identity", "internal/webwire", "internal/wheel", "internal/core", "membership", "internal/blocking", "internal/connpool", "internal/httpwire", "internal/registry", "internal/grpcwire", "internal/readings", "internal/sim", "internal/terms"}
+var purePackages = []string{"decision", "keys", "internal/journal", "internal/simdisk", "routes", "identity", "internal/webwire", "internal/wheel", "internal/core", "membership", "internal/blocking", "internal/connpool", "internal/httpwire", "internal/registry", "internal/grpcwire", "internal/readings", "internal/sim", "internal/terms", "internal/virtual", "internal/region", "internal/paired"}
 
 var impureImports = []string{"net", "os", "sync", "log", "syscall", "context", "io", "runtime", "testing", "unsafe"}
 
 var pureTime = []string{"Duration", "Time", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute", "Hour", "Unix",
 	"UnixMilli", "Month", "Weekday", "UTC", "Date", "ParseDuration", "Parse", "RFC3339", "RFC3339Nano"}
 
-var pureRand = []string{"New", "NewPCG", "Rand", "Source", "PCG"}
+var pureRand = []string{"New", "NewPCG", "Rand", "Source", "PCG", "NewZipf", "Zipf"}
 
 // pureOf are what pure packages may use of packages that also do I/O: what works on values alone.
 var pureOf = map[string][]string{
