--- a/cmd/pumicecroft/commands_test.go
+++ b/cmd/pumicecroft/commands_test.go
@@ -55,21 +55,56 @@
 	}
 }
 
-func TestWhatMakesNoSense(t *testing.T) {
+// A command line that can't be taken ends with 2 and a word on what was meant; what fails ends with 1.
+func TestExits(t *testing.T) {
 	t.Setenv("NODE_CONFIG", "")
-	for _, args := range [][]string{{}, {"bake"}, {"check"}, {"check", "none.toml"}, {"serve"}, {"serve", "none.toml"}, {"members"}, {"members", file(t, operatorFile)},
-		{"members", file(t, "members = \"127.0.0.1:1\"\n"+operatorFile)},
-		{"serve", file(t, "listen = 3")}, {"demo", "-duration", "0s"}, {"demo", "more"}, {"demo", "-nope"}, {"demo", "-addr", "nowhere"}} {
+	for _, c := range []struct {
+		args string
+		code int
+		want string
+	}{
+		{"", 2, "pumicecroft --help"},
+		{"--help", 0, "NODE_CONFIG"},
+		{"lab --help", 0, "compare"},
+		{"lab run -h", 0, "--jobs"},
+		{"sim --help", 0, "mutants"},
+		{"version", 0, "revision"},
+		{"completion bash", 0, "pumicecroft"},
+		{"lab figures", 0, "more is better"},
+		{"bake", 2, "unexpected argument bake"},
+		{"serv", 2, `did you mean "serve"?`},
+		{"memberz", 2, `did you mean "members"?`},
+		{"lab repot", 2, `did you mean "report"?`},
+		{"serve x --log-formt json", 2, `did you mean "--log-format"?`},
+		{"serve x --log-format xml", 2, "must be one of"},
+		{"check", 2, "<file>"},
+		{"check none.toml", 1, "none.toml"},
+		{"serve", 2, "<file>"},
+		{"serve none.toml", 1, "none.toml"},
+		{"members", 2, "<file>"},
+		{"demo --duration 0s", 2, "not above 0"},
+		{"demo more", 2, "unexpected argument more"},
+		{"demo --addr nowhere", 1, "nowhere"},
+		{"lab run none.toml --jobs 0", 2, "below 1"},
+		{"lab run none.toml", 1, "none.toml"},
+		{"lab compare none", 1, "none"},
+	} {
 		var out bytes.Buffer
-		if err := run(t.Context(), args, &out); err == nil {
-			t.Errorf("%q: no error", args)
+		err := run(t.Context(), strings.Fields(c.args), &out)
+		if got := out.String() + fmt.Sprint(err); exitCode(err) != c.code || !strings.Contains(got, c.want) {
+			t.Errorf("%q: exits with %d, want %d; %q lacks %q", c.args, exitCode(err), c.code, got, c.want)
+		}
+	}
+	for _, args := range [][]string{{"members", file(t, operatorFile)}, {"members", file(t, "members = \"127.0.0.1:1\"\n"+operatorFile)}, {"serve", file(t, "listen = 3")}} {
+		if err := run(t.Context(), args, io.Discard); exitCode(err) != 1 {
+			t.Errorf("%q: %v", args, err)
 		}
 	}
 }
 
 func TestDemoCommand(t *testing.T) {
 	var out bytes.Buffer
-	if err := run(t.Context(), []string{"demo", "-duration", "1s"}, &out); err != nil || !strings.Contains(out.String(), "lost=0 duplicates=0") {
+	if err := run(t.Context(), []string{"demo", "--duration", "1s"}, &out); err != nil || !strings.Contains(out.String(), "lost=0 duplicates=0") {
 		t.Errorf("%v\n%s", err, out.String())
 	}
 }
--- a/cmd/pumicecroft/demo.go
+++ b/cmd/pumicecroft/demo.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,20 +13,24 @@
 
 var errDemo = errors.New("the demo lost or duplicated requests")
 
-func runDemo(ctx context.Context, args []string, out io.Writer) error {
-	flags := flag.NewFlagSet("demo", flag.ContinueOnError)
-	flags.SetOutput(out)
-	duration := flags.Duration("duration", 10*time.Second, "how long clients ask")
-	addr := flags.String("addr", "127.0.0.1:0", "where the door listens")
-	seed := flags.Uint64("seed", 1, "of the clients' chance")
-	if err := flags.Parse(args); err != nil {
-		return err
-	}
-	if flags.NArg() > 0 || *duration <= 0 {
-		return fmt.Errorf("demo takes -duration (above 0), -addr and -seed, not %q", flags.Args())
+type demoCommand struct {
+	Duration time.Duration `default:"10s" help:"How long clients ask."`
+	Addr     string        `default:"127.0.0.1:0" help:"Where the door listens."`
+	Seed     uint64        `default:"1" help:"Of the clients' chance."`
+}
+
+// Validate is kong's.
+func (c *demoCommand) Validate() error {
+	if c.Duration <= 0 {
+		return fmt.Errorf("--duration %v is not above 0", c.Duration)
 	}
+	return nil
+}
+
+// Run runs the demo, which fails if anything was lost or doubled.
+func (c *demoCommand) Run(ctx context.Context, out io.Writer) error {
 	slog.SetDefault(slog.New(slog.DiscardHandler)) // the demo has its own lines
-	counts, err := demo.Run(ctx, demo.Options{Duration: *duration, Addr: *addr, Out: out, Seed: *seed})
+	counts, err := demo.Run(ctx, demo.Options{Duration: c.Duration, Addr: c.Addr, Out: out, Seed: c.Seed})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/pumicecroft/lab.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"pumicecroft/internal/lab"
+	"pumicecroft/internal/paired"
+)
+
+// labCommand is the laboratory.
+type labCommand struct {
+	Check   labCheck   `cmd:"" help:"Check an experiment's file, and name key and line of each error."`
+	Run     labRun     `cmd:"" help:"Make all runs of an experiment that its directory lacks."`
+	Compare labCompare `cmd:"" help:"Say which of two ways is better, by runs under the same chance."`
+	Report  labReport  `cmd:"" help:"Write a directory's results as one page with plots, or as Markdown."`
+	Figures labFigures `cmd:"" help:"Print what a run is measured by."`
+}
+
+type labCheck struct {
+	File string `arg:"" help:"An experiment's file, such as lab/policies.toml."`
+}
+
+// Run checks a file.
+func (c *labCheck) Run(out io.Writer) error {
+	e, err := lab.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s is good: %d cells of %d runs each\n", c.File, len(e.Cells), e.Repetitions)
+	return err
+}
+
+type labRun struct {
+	File string `arg:"" help:"An experiment's file."`
+	Dir  string `short:"d" help:"Where its results are kept; results/ and the file's name, if none is given."`
+	Jobs int    `short:"j" default:"${jobs}" help:"Processors to use."`
+}
+
+// Validate is kong's.
+func (c *labRun) Validate() error {
+	if c.Jobs < 1 {
+		return fmt.Errorf("--jobs %d is below 1", c.Jobs)
+	}
+	return nil
+}
+
+// Run makes what runs are not there yet. Ended early, it keeps what it has, and goes on from there the next time.
+func (c *labRun) Run(ctx context.Context, out io.Writer) error {
+	if c.Dir == "" {
+		c.Dir = filepath.Join("results", strings.TrimSuffix(filepath.Base(c.File), filepath.Ext(c.File)))
+	}
+	begun := time.Now()
+	ran, err := lab.Run(ctx, c.File, c.Dir, lab.RunOptions{Jobs: c.Jobs, Told: func(done, all int, r *lab.Row) {
+		word := fmt.Sprintf("worth %.4f, %d events", r.Figures["worth"], r.Events)
+		if r.Failed != "" {
+			word = "FAILED: " + r.Failed
+		}
+		fmt.Fprintf(out, "%d of %d: %s, seed %d: %s\n", done, all, strings.Join(r.Cell, " / "), r.Repetition, word)
+	}})
+	for _, torn := range ran.Torn {
+		fmt.Fprintln(out, "made again:", torn)
+	}
+	if ran.All > 0 {
+		fmt.Fprintf(out, "%d of %d runs are in %s: %d were there, %d made in %.1f s, %d of them failed\n", ran.Before+ran.Now-ran.Failed, ran.All, c.Dir, ran.Before, ran.Now,
+			time.Since(begun).Seconds(), ran.Failed)
+	}
+	if errors.Is(err, context.Canceled) {
+		return fmt.Errorf("ended early; the same command goes on from there")
+	}
+	return err
+}
+
+// judging is how verdicts are reached.
+type judging struct {
+	Level  float64  `default:"0.95" help:"Of the intervals."`
+	Figure []string `short:"f" help:"A figure to compare; those that the experiment names, if none is given. May be repeated."`
+}
+
+func (j *judging) rules() paired.Rules { return paired.Rules{Level: j.Level, Seed: 1} }
+
+func (j *judging) figures(e *lab.Experiment) ([]string, error) {
+	for _, name := range j.Figure {
+		if lab.FigureOf(name) == nil {
+			return nil, usageError{fmt.Errorf("%q is none of %s", name, strings.Join(lab.FigureNames(), ", "))}
+		}
+	}
+	if len(j.Figure) == 0 {
+		return e.Figures, nil
+	}
+	return j.Figure, nil
+}
+
+type labCompare struct {
+	judging
+	Dir    string `arg:"" help:"Results."`
+	Other  string `arg:"" optional:"" help:"Results of the same experiment by another build, to compare with the first."`
+	Factor string `help:"Within one directory: the factor whose levels are compared; the first, if none is given."`
+	Of     string `help:"The level that others are compared with; the factor's first."`
+	With   string `help:"The one to compare with it; all, if none is given."`
+}
+
+// Run prints a table of verdicts.
+func (c *labCompare) Run(out io.Writer) error {
+	a, err := lab.Read(c.Dir)
+	if err != nil {
+		return err
+	}
+	figures, err := c.figures(a.Experiment)
+	if err != nil {
+		return err
+	}
+	var told []lab.Comparison
+	if c.Other != "" {
+		b, err := lab.Read(c.Other)
+		if err != nil {
+			return err
+		}
+		told, err = lab.Across(a, b, c.Dir, c.Other, figures, c.rules())
+		if err != nil {
+			return err
+		}
+	} else {
+		if c.Factor == "" && len(a.Factors) > 0 {
+			c.Factor = a.Factors[0].Name
+		}
+		if told, err = lab.Within(a, c.Factor, c.Of, c.With, figures, c.rules()); err != nil {
+			return usageError{err}
+		}
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "WHERE\tA\tB\tFIGURE\tPAIRS\tA'S\tB'S\tDIFFERENCE\tINTERVAL\tB IS")
+	for _, t := range told {
+		d := t.Told
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%.4g\t%.4g\t%+.3g\t%+.3g to %+.3g\t%s\n", t.Where, t.A, t.B, t.Figure.Name, d.Pairs, d.A, d.B, d.Mean, d.Low, d.High, t.Verdict())
+	}
+	return w.Flush()
+}
+
+type labReport struct {
+	judging
+	Dir      string `arg:"" help:"Results."`
+	By       string `help:"The factor whose levels stand side by side; the first, if none is given."`
+	Out      string `short:"o" help:"The file to write; report.html or report.md in the directory, if none is given."`
+	Markdown bool   `help:"Markdown, without plots."`
+}
+
+// Run writes a report.
+func (c *labReport) Run(out io.Writer) error {
+	r, err := lab.Read(c.Dir)
+	if err != nil {
+		return err
+	}
+	if r.Experiment.Figures, err = c.figures(r.Experiment); err != nil {
+		return err
+	}
+	write, name := lab.HTML, "report.html"
+	if c.Markdown {
+		write, name = lab.Markdown, "report.md"
+	}
+	text, err := write(r, c.By, c.rules())
+	if err != nil {
+		return err
+	}
+	if c.Out == "" {
+		c.Out = filepath.Join(c.Dir, name)
+	}
+	if err := os.WriteFile(c.Out, text, 0o644); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(out, c.Out)
+	return err
+}
+
+type labFigures struct{}
+
+// Run prints the figures.
+func (labFigures) Run(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, f := range lab.Figures {
+		better := "less is better"
+		if f.Higher {
+			better = "more is better"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\n", f.Name, better, f.What)
+	}
+	return w.Flush()
+}
--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -1,57 +1,136 @@
-// Command pumicecroft is the front door as a daemon.
-//
-//	pumicecroft              serve, configured by the file that NODE_CONFIG names, until SIGTERM; SIGHUP makes it
-//	                         read the file again and follow the discovery that it names then
-//	pumicecroft serve FILE   serve, configured by an operator's file, until SIGTERM; SIGHUP makes it read routes,
-//	                         identities and certificates again
-//	pumicecroft check FILE   check an operator's file and name key and line of each error
-//	pumicecroft routes FILE METHOD URL
-//	                         print what would become of a request, and why: see routes -h
-//	pumicecroft members FILE print what the door that serves by a file believes of each backend, and why
-//	pumicecroft demo         run a whole deployment on loopback for a short while: see demo -h
+// Command pumicecroft is the front door as a daemon, and what goes with it: "pumicecroft --help" tells of its sub-commands, each of
+// which is in a file of its own. Without an argument it serves as the file says that NODE_CONFIG names, until SIGTERM; SIGHUP makes it
+// read that file again and follow the discovery that it names then.
 package main
 
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"pumicecroft/internal/daemon"
+
+	"github.com/alecthomas/kong"
+	kongcompletion "github.com/jotaen/kong-completion"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx, os.Args[1:], os.Stdout); err != nil && !errors.Is(err, flag.ErrHelp) {
+	err := run(ctx, os.Args[1:], os.Stdout)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "pumicecroft:", err)
-		os.Exit(1)
 	}
+	stop()
+	os.Exit(exitCode(err))
 }
 
-func run(ctx context.Context, args []string, out io.Writer) error {
+// usageError is a command line that can't be taken.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
+// exitCode is 2 for a command line that can't be taken, as shells' own commands have it, and 1 for what failed.
+func exitCode(err error) int {
+	var usage usageError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage):
+		return 2
+	}
+	return 1
+}
+
+// program is the command line.
+type program struct {
+	LogFormat string `enum:"text,json" default:"text" placeholder:"text|json" help:"The form of the program's own words on standard error."`
+	LogLevel  string `enum:"debug,info,warn,error" default:"info" placeholder:"LEVEL" help:"The least of them that are said: debug, info, warn or error."`
+
+	Serve   serveCommand   `cmd:"" help:"Serve by an operator's file, until SIGTERM; SIGHUP has routes, identities and certificates read again."`
+	Check   checkCommand   `cmd:"" help:"Check an operator's file, and name key and line of each error."`
+	Routes  routesCommand  `cmd:"" help:"Print what would become of a request, and why. Nothing is sent."`
+	Members membersCommand `cmd:"" help:"Print what the door that serves by a file believes of each backend, and why."`
+	Demo    demoCommand    `cmd:"" help:"Run a whole deployment on loopback for a short while."`
+	Sim     simCommand     `cmd:"" help:"Run doors in worlds that seeds decide, held to the five rules."`
+	Lab     labCommand     `cmd:"" help:"Run experiments in an emulated region, compare and report."`
+	Version versionCommand `cmd:"" help:"Print which build this is."`
+
+	Completion kongcompletion.Completion `cmd:"" help:"Print how a shell is made to complete this program's commands."`
+}
+
+// errHelped ends a parser that has printed its help.
+var errHelped = errors.New("helped")
+
+// run parses and runs a command line.
+func run(ctx context.Context, args []string, out io.Writer) (err error) {
+	if path := os.Getenv("NODE_CONFIG"); len(args) == 0 && path != "" {
+		return daemon.Serve(ctx, path, daemon.Hangups(ctx))
+	}
+	var c program
+	parser, err := kong.New(&c, kong.Name("pumicecroft"), kong.Description("A front door that holds every customer of a shared set of backends to its plan. Without a command it serves as the file says that NODE_CONFIG names."),
+		kong.Writers(out, out), kong.Exit(func(int) { panic(errHelped) }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.BindTo(ctx, (*context.Context)(nil)), kong.BindTo(out, (*io.Writer)(nil)),
+		kong.Vars{"corpus": corpusFile, "jobs": strconv.Itoa(runtime.GOMAXPROCS(0))})
+	if err != nil {
+		return err
+	}
+	defer func() { // kong ends the process once it has printed its help; this ends the command alone
+		if p := recover(); p == errHelped {
+			err = nil
+		} else if p != nil {
+			panic(p)
+		}
+	}()
+	kongcompletion.Register(parser)
 	if len(args) == 0 {
-		path := os.Getenv("NODE_CONFIG")
-		if path == "" {
-			return errors.New("NODE_CONFIG names no file; to see the program at work: pumicecroft demo")
+		return usageError{errors.New("NODE_CONFIG names no file; see pumicecroft --help, and pumicecroft demo for the program at work")}
+	}
+	k, err := parser.Parse(args)
+	if err != nil {
+		return usageError{err}
+	}
+	c.speak()
+	return k.Run()
+}
+
+// speak sets the form of the program's own words, if another one is wanted than the usual.
+func (c *program) speak() {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(c.LogLevel)) // kong has looked
+	if c.LogFormat == "json" {
+		slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	} else {
+		slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	}
+}
+
+type versionCommand struct{}
+
+// Run prints what the build knows of itself.
+func (versionCommand) Run(out io.Writer) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("this build knows nothing of itself")
+	}
+	revision, changed, at := "unknown", "", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value
+		case s.Key == "vcs.time":
+			at = " of " + s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = ", with changes"
 		}
-		return daemon.Serve(ctx, path, daemon.Hangups(ctx))
 	}
-	switch args[0] {
-	case "check":
-		return check(args[1:], out)
-	case "demo":
-		return runDemo(ctx, args[1:], out)
-	case "members":
-		return members(ctx, args[1:], out)
-	case "routes":
-		return showRoute(args[1:], out)
-	case "serve":
-		return serveFile(ctx, args[1:])
-	}
-	return fmt.Errorf("there is no command %q; there are serve, check, routes, members and demo, and without a command it serves as NODE_CONFIG says", args[0])
+	_, err := fmt.Fprintf(out, "pumicecroft %s, revision %s%s%s, %s\n", info.Main.Version, revision, at, changed, info.GoVersion)
+	return err
 }
--- a/cmd/pumicecroft/operator.go
+++ b/cmd/pumicecroft/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -15,50 +14,56 @@
 	"pumicecroft/internal/operator"
 )
 
-func readFile(args []string) (operator.File, error) {
-	if len(args) != 1 {
-		return operator.File{}, errors.New("name one operator's file, such as deploy/pumicecroft.toml")
-	}
-	text, err := os.ReadFile(args[0])
+// fileArg is an operator's file.
+type fileArg struct {
+	File string `arg:"" help:"An operator's file, such as deploy/pumicecroft.toml."`
+}
+
+func (a fileArg) read() (operator.File, error) {
+	text, err := os.ReadFile(a.File)
 	if err != nil {
 		return operator.File{}, err
 	}
 	f, err := operator.Parse(text)
 	if err != nil {
-		return operator.File{}, fmt.Errorf("%s:\n%w", args[0], err)
+		return operator.File{}, fmt.Errorf("%s:\n%w", a.File, err)
 	}
 	return f, nil
 }
 
-// check checks an operator's file.
-func check(args []string, out io.Writer) error {
-	f, err := readFile(args)
+type checkCommand struct{ fileArg }
+
+// Run checks an operator's file.
+func (c *checkCommand) Run(out io.Writer) error {
+	f, err := c.read()
 	if err != nil {
 		return err
 	}
 	var warnings []string
 	if f.Web != nil {
 		if warnings, err = daemon.CheckWeb(f); err != nil {
-			return fmt.Errorf("%s:\n%w", args[0], err)
+			return fmt.Errorf("%s:\n%w", c.File, err)
 		}
 	}
 	for _, w := range warnings {
-		fmt.Fprintf(out, "%s: warning: %s\n", args[0], w)
+		fmt.Fprintf(out, "%s: warning: %s\n", c.File, w)
 	}
-	fmt.Fprintf(out, "%s is good: door %d of %d, %d classes, %d plans, %d backends, sources %s, to listen on %s\n", args[0],
+	fmt.Fprintf(out, "%s is good: door %d of %d, %d classes, %d plans, %d backends, sources %s, to listen on %s\n", c.File,
 		f.Door.Settings.Me, f.Door.Settings.FrontDoors, len(f.Door.Settings.Classes), len(f.Door.Settings.Plans),
 		len(f.Backends.Nodes), strings.Join(f.Sources, ", "), f.Listen)
 	return nil
 }
 
-// members prints what a running door believes of its backends.
-func members(ctx context.Context, args []string, out io.Writer) error {
-	f, err := readFile(args)
+type membersCommand struct{ fileArg }
+
+// Run prints what a running door believes of its backends.
+func (c *membersCommand) Run(ctx context.Context, out io.Writer) error {
+	f, err := c.read()
 	if err != nil {
 		return err
 	}
 	if f.Members == "" {
-		return fmt.Errorf(`%s: it names no address to ask at: members = "127.0.0.1:PORT"`, args[0])
+		return fmt.Errorf(`%s: it names no address to ask at: members = "127.0.0.1:PORT"`, c.File)
 	}
 	all, err := daemon.AskMembers(ctx, f.Members)
 	if err != nil {
@@ -90,11 +95,13 @@
 	}, s)
 }
 
-// serveFile serves by an operator's file until ctx ends.
-func serveFile(ctx context.Context, args []string) error {
-	f, err := readFile(args)
+type serveCommand struct{ fileArg }
+
+// Run serves by an operator's file until ctx ends.
+func (c *serveCommand) Run(ctx context.Context) error {
+	f, err := c.read()
 	if err != nil {
 		return err
 	}
-	return daemon.ServeFile(ctx, f, func() (operator.File, error) { return readFile(args) }, daemon.Hangups(ctx))
+	return daemon.ServeFile(ctx, f, c.read, daemon.Hangups(ctx))
 }
--- a/cmd/pumicecroft/routes.go
+++ b/cmd/pumicecroft/routes.go
@@ -9,43 +9,29 @@
 	"strings"
 	"time"
 
-	"github.com/alecthomas/kong"
-
 	"pumicecroft/internal/daemon"
 	"pumicecroft/internal/operator"
 	"pumicecroft/webfront"
 )
 
-// routesArgs are those of "pumicecroft routes".
-type routesArgs struct {
-	File   string   `arg:"" help:"An operator's file."`
+type routesCommand struct {
+	fileArg
 	Method string   `arg:"" help:"The request's method, such as GET."`
 	URL    string   `arg:"" help:"Its URL, such as http://shop.example/items/7, or a path."`
 	Header []string `short:"H" sep:"none" placeholder:"NAME: VALUE" help:"A field that it brings. May be repeated."`
 	From   string   `default:"127.0.0.1" help:"The address that it comes from."`
 }
 
-// showRoute prints what would become of a request, and why. Nothing is sent.
-func showRoute(args []string, out io.Writer) error {
-	var a routesArgs
-	ended := false
-	parser, err := kong.New(&a, kong.Name("pumicecroft routes"), kong.Description("What would become of a request, and why. Nothing is sent."), kong.Writers(out, out), kong.Exit(func(int) { ended = true }))
-	if err != nil {
-		return err
-	}
-	if _, err := parser.Parse(args); ended {
-		return nil
-	} else if err != nil {
-		return err
-	}
-	f, err := readFile([]string{a.File})
+// Run prints what would become of a request, and why.
+func (a *routesCommand) Run(out io.Writer) error {
+	f, err := a.read()
 	if err != nil {
 		return err
 	}
 	if f.Web == nil {
 		return fmt.Errorf("%s: it has no [[service]], and so no routes", a.File)
 	}
-	r, err := request(&a)
+	r, err := request(a)
 	if err != nil {
 		return err
 	}
@@ -60,7 +46,7 @@
 }
 
 // request is the one that the arguments tell of.
-func request(a *routesArgs) (*http.Request, error) {
+func request(a *routesCommand) (*http.Request, error) {
 	text := a.URL
 	if strings.HasPrefix(text, "/") {
 		text = "http://localhost" + text
--- /dev/null
+++ b/cmd/pumicecroft/sim.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"pumicecroft/internal/sim"
+)
+
+// errBroken ends a command that found a rule broken, or a planted bug that was not found.
+var errBroken = errors.New("a rule was broken")
+
+// simCommand is seeded runs.
+type simCommand struct {
+	Run     runCommand     `cmd:"" help:"Run all seeds of a range: what broke, and how fast it went."`
+	Replay  replayCommand  `cmd:"" help:"Run one seed again, with its script and its trace."`
+	Shrink  shrinkCommand  `cmd:"" help:"Find the smallest script by which a seed still breaks its rule."`
+	Corpus  corpusCommand  `cmd:"" help:"Run the scripts that broke a rule once."`
+	Mutants mutantsCommand `cmd:"" help:"Build the simulation with one planted bug at a time and run seeds until each is caught."`
+}
+
+// tellRun prints what came of one run.
+func tellRun(r sim.Result, out io.Writer) error {
+	fmt.Fprintf(out, "seed %d: %d steps, %.1f s, trace %016x; served %d, refused %d, failed %d, lost with their doors %d\n%v", r.Seed, r.Steps,
+		r.Simulated.Seconds(), r.Hash, r.Served, r.Refused, r.Failed, r.Lost, r.Script)
+	for _, v := range r.Violations {
+		fmt.Fprintln(out, "BROKEN", v)
+	}
+	if len(r.Violations) > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/cmd/pumicecroft-sim/mutants.go
+++ b/cmd/pumicecroft/sim_mutants.go
@@ -86,7 +86,7 @@
 		return "", err
 	}
 	program = filepath.Join(dir, "mutant")
-	build := exec.Command("go", "build", "-overlay", list, "-o", program, "./cmd/pumicecroft-sim")
+	build := exec.Command("go", "build", "-overlay", list, "-o", program, "./cmd/pumicecroft")
 	build.Dir = root
 	if out, err := build.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%s does not build: %w\n%s", m.Name, err, out)
@@ -125,13 +125,13 @@
 	}
 	begun := time.Now()
 	if strings.HasPrefix(m.Name, found) { // its script is known
-		out, _ := exec.Command(program, "corpus", "--file", filepath.Join(root, corpusFile)).CombinedOutput()
+		out, _ := exec.Command(program, "sim", "corpus", "--file", filepath.Join(root, corpusFile)).CombinedOutput()
 		if broke := corpusLine.FindStringSubmatch(string(out)); broke != nil {
 			v.rule, v.seed, v.took = broke[1], "corpus", time.Since(begun)
 			return v
 		}
 	}
-	out, err := exec.Command(program, "run", "--seeds", seeds, "--first", "--jobs", "1").CombinedOutput()
+	out, err := exec.Command(program, "sim", "run", "--seeds", seeds, "--first", "--jobs", "1").CombinedOutput()
 	v.took = time.Since(begun)
 	if broke := brokeLine.FindStringSubmatch(string(out)); broke != nil {
 		v.rule, v.seed = broke[1], broke[2]
--- a/cmd/pumicecroft-sim/main_test.go
+++ b/cmd/pumicecroft/sim_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"os"
 	"path/filepath"
@@ -11,7 +12,7 @@
 
 func ask(args ...string) (string, error) {
 	var out strings.Builder
-	err := run(args, &out)
+	err := run(context.Background(), append([]string{"sim"}, args...), &out)
 	return out.String(), err
 }
 
--- a/cmd/pumicecroft/web_test.go
+++ b/cmd/pumicecroft/web_test.go
@@ -192,7 +192,7 @@
 		"without a place": {"", "line 16: tls.certificate: there is none"},
 	} {
 		var out bytes.Buffer
-		err := check([]string{file(t, base+c.more)}, &out)
+		err := run(t.Context(), []string{"check", file(t, base+c.more)}, &out)
 		if got := out.String() + fmt.Sprint(err); !strings.Contains(got, c.want) {
 			t.Errorf("%s: %s", name, got)
 		}
@@ -223,11 +223,11 @@
 		{"GET|/items/..", "refused   400: "},
 	} {
 		var out bytes.Buffer
-		if err := showRoute(append([]string{path}, strings.Split(c.args, "|")...), &out); err != nil || !strings.Contains(out.String(), c.want) {
+		if err := run(t.Context(), append([]string{"routes", path}, strings.Split(c.args, "|")...), &out); err != nil || !strings.Contains(out.String(), c.want) {
 			t.Errorf("%s: %v\n%s", c.args, err, out.String())
 		}
 	}
-	if err := showRoute([]string{path, "GET"}, io.Discard); err == nil {
+	if err := run(t.Context(), []string{"routes", path, "GET"}, io.Discard); err == nil {
 		t.Error("without a URL it is no error")
 	}
 }
--- /dev/null
+++ b/internal/lab/emulate.go
@@ -0,0 +1,83 @@
+package lab
+
+import (
+	"context"
+	"runtime"
+	"sync"
+	"sync/atomic"
+
+	"pumicecroft/internal/region"
+)
+
+// Emulate runs a region to its end on some workers, or until ctx ends. What comes of it does not hang on how many there are. A region
+// is not run twice.
+func Emulate(ctx context.Context, r *region.Region, workers int) error {
+	workers = max(1, min(workers, r.Shards()))
+	if workers == 1 {
+		for n := 0; r.Next(); n++ {
+			for i := range r.Shards() {
+				r.Step(i)
+			}
+			for i := range r.Shards() {
+				r.Take(i)
+			}
+			if n%1024 == 0 && ctx.Err() != nil {
+				return ctx.Err()
+			}
+		}
+		return ctx.Err()
+	}
+	// Windows are some hundred microseconds of work: who is done spins for the others.
+	var b barrier
+	b.parties = int32(workers)
+	var running sync.WaitGroup
+	over := false // written by the first worker between two waits, read by all after the second
+	for w := range workers {
+		running.Go(func() {
+			for n := 0; ; n++ {
+				if w == 0 {
+					over = !r.Next() || n%1024 == 0 && ctx.Err() != nil
+				}
+				b.wait()
+				if over {
+					return
+				}
+				for i := w; i < r.Shards(); i += workers {
+					r.Step(i)
+				}
+				b.wait()
+				for i := w; i < r.Shards(); i += workers {
+					r.Take(i)
+				}
+				b.wait()
+			}
+		})
+	}
+	running.Wait()
+	return ctx.Err()
+}
+
+// spins are some tens of microseconds, as long as most windows take. With 200 of them a third of all CPU was the scheduler's.
+const spins = 20_000
+
+// barrier has parties wait for each other, over and over.
+type barrier struct {
+	parties int32
+	here    atomic.Int32
+	turn    atomic.Uint32
+}
+
+// wait returns once all parties are here. What each did before it, all see after it.
+func (b *barrier) wait() {
+	turn := b.turn.Load()
+	if b.here.Add(1) == b.parties {
+		b.here.Store(0)
+		b.turn.Add(1)
+		return
+	}
+	for n := 0; b.turn.Load() == turn; n++ {
+		if n > spins { // somebody's window is long, or there are fewer processors than workers
+			runtime.Gosched()
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment.go
@@ -0,0 +1,313 @@
+// Package lab shows what a change does: it runs experiments in an emulated region (internal/region), many at once, keeps what came
+// of each run, compares ways in pairs (internal/paired), and reports with plots. experiment.go reads an experiment's file, emulate.go
+// runs one region, runs.go all runs of an experiment, rows.go keeps what came of them, compare.go and report.go read them.
+//
+// It touches files in the directory that it is given, and processors. What a run comes to hangs on its cell and seed alone.
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/region"
+	"pumicecroft/internal/settings"
+	"pumicecroft/internal/virtual"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Factor is something that differs between runs.
+type Factor struct {
+	Name   string
+	Levels []Level
+}
+
+// Level is one of the ways that a factor may be: keys of [region] and their values.
+type Level struct {
+	Name string
+	Set  map[string]any
+}
+
+// Cell is one level of each factor.
+type Cell struct {
+	Levels []string // by factor
+	Config region.Config
+}
+
+// Experiment is what an experiment's file says.
+type Experiment struct {
+	Name        string
+	Seed        uint64
+	Repetitions int
+	Figures     []string // that are shown first
+	Factors     []Factor
+	Cells       []Cell // every combination, the last factor's levels in turn
+	Digest      string // of all but the repetitions: runs of another one are not of this experiment
+
+	traces map[string][]byte // by the path that the file names
+}
+
+// mostCells bounds an experiment.
+const mostCells = 10_000
+
+// SeedOf is a repetition's, the same in all cells: differences between them are paired.
+func (e *Experiment) SeedOf(repetition int) uint64 { return virtual.Mix(e.Seed + uint64(repetition)) }
+
+// Parse reads an experiment's file. trace gives what a trace's file holds; all that is wrong comes in one error, settings.Problems.
+func Parse(text []byte, trace func(path string) ([]byte, error)) (*Experiment, error) {
+	d, err := settings.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	top := d.Top()
+	e := &Experiment{Name: top.Text("name", true), Seed: uint64(top.Whole("seed", 1, 0, math.MaxInt)), Repetitions: top.Whole("repetitions", 10, 1, 100_000)}
+	e.Figures = top.Texts("figures")
+	for _, name := range e.Figures {
+		if FigureOf(name) == nil {
+			d.Bad("", "figures", "%q is none of %s", name, strings.Join(FigureNames(), ", "))
+		}
+	}
+	if len(e.Figures) == 0 {
+		e.Figures = usualFigures
+	}
+	seen := map[string]bool{}
+	cells := 1
+	for _, f := range top.List("factor") {
+		out := Factor{Name: f.Text("name", true)}
+		if seen[out.Name] {
+			d.Bad(f.Path, "name", "%q is there twice", out.Name)
+		}
+		seen[out.Name] = true
+		levels := map[string]bool{}
+		for _, l := range f.List("level") {
+			v := Level{Name: l.Text("name", true)}
+			if levels[v.Name] {
+				d.Bad(l.Path, "name", "%q is there twice", v.Name)
+			}
+			levels[v.Name] = true
+			set := l.Table("set")
+			if v.Set = set.Keys; v.Set == nil {
+				v.Set = map[string]any{}
+			}
+			l.Done()
+			out.Levels = append(out.Levels, v)
+		}
+		if len(out.Levels) == 0 {
+			d.Bad(f.Path, "level", "there is none: [[factor.level]] with a name and what it sets")
+		}
+		f.Done()
+		e.Factors = append(e.Factors, out)
+		if cells *= max(1, len(out.Levels)); cells > mostCells {
+			d.Bad(f.Path, "level", "more than %d cells", mostCells)
+			return nil, d.Result()
+		}
+	}
+	top.Table("region")
+	top.Done()
+	if err := d.Result(); err != nil {
+		return nil, err
+	}
+	e.traces = map[string][]byte{}
+	sums := map[string]uint64{}
+	read := func(path string) ([]byte, error) {
+		if text, there := e.traces[path]; there {
+			return text, nil
+		}
+		text, err := trace(path)
+		if err == nil {
+			e.traces[path], sums[path] = text, xxhash.Sum64(text)
+		}
+		return text, err
+	}
+	for n := range cells {
+		if err := e.cell(text, n, read); err != nil {
+			return nil, err
+		}
+	}
+	digest := maps.Clone(d.Root)
+	delete(digest, "repetitions")
+	digest["traces"] = sums
+	canonical, err := json.Marshal(digest) // keys come sorted
+	if err != nil {
+		return nil, fmt.Errorf("an experiment that can't be told from others: %w", err)
+	}
+	e.Digest = fmt.Sprintf("%016x", xxhash.Sum64(canonical))
+	return e, nil
+}
+
+// cell reads the region of one combination of levels. What a level sets stands where the file has the level.
+func (e *Experiment) cell(text []byte, n int, trace func(path string) ([]byte, error)) error {
+	d, err := settings.Parse(text)
+	if err != nil {
+		return err
+	}
+	c := Cell{Levels: make([]string, len(e.Factors))}
+	base, _ := d.Root["region"].(map[string]any)
+	if base == nil {
+		base = map[string]any{}
+		d.Root["region"] = base
+	}
+	for i := len(e.Factors) - 1; i >= 0; i-- {
+		f := e.Factors[i]
+		j := n % len(f.Levels)
+		n /= len(f.Levels)
+		l := f.Levels[j]
+		c.Levels[i] = l.Name
+		at := fmt.Sprintf("factor[%d].level[%d]", i, j)
+		for _, key := range slices.Sorted(maps.Keys(l.Set)) {
+			if err := put(base, strings.Split(key, "."), l.Set[key]); err != nil {
+				d.Bad(at, "set", "%s: %v", key, err)
+				continue
+			}
+			line := d.Line(at + ".set")
+			if line == 0 {
+				line = d.Line(at)
+			}
+			d.Place("region."+key, line)
+		}
+	}
+	readRegion(d, d.Top().Table("region"), &c.Config, trace)
+	if err := d.Result(); err != nil {
+		return err
+	}
+	if err := c.Config.Validate(); err != nil {
+		d.Bad("region", "", "%v", err)
+		return d.Result()
+	}
+	e.Cells = append(e.Cells, c)
+	return nil
+}
+
+// put sets a value by its path.
+func put(m map[string]any, path []string, v any) error {
+	for i, p := range path[:len(path)-1] {
+		next, there := m[p]
+		if !there {
+			next = map[string]any{}
+			m[p] = next
+		}
+		table, ok := next.(map[string]any)
+		if !ok {
+			return fmt.Errorf("%s is no table", strings.Join(path[:i+1], "."))
+		}
+		m = table
+	}
+	m[path[len(path)-1]] = v
+	return nil
+}
+
+const (
+	much = 1 << 40
+	day  = 24 * time.Hour
+)
+
+// readRegion reads [region].
+func readRegion(d *settings.Document, s *settings.Section, c *region.Config, trace func(path string) ([]byte, error)) {
+	c.Doors = s.Whole("doors", 10, 1, 4096)
+	c.Policy = region.Policies[s.OneOf("policy", region.PolicyModule, region.Policies...)]
+	c.Length = s.Duration("length", time.Minute, time.Second, day)
+	c.Warmup = s.Duration("warmup", 10*time.Second, 0, day)
+	c.Lists = s.Duration("lists", 500*time.Millisecond, time.Millisecond, time.Hour)
+	c.Loses = s.Number("counter_loss", 0, 0, 1)
+	c.Ceiling = s.Number("limit", 0, 0, much)
+	n := s.Table("network")
+	c.Network = region.Network{Least: n.Duration("least", 250*time.Microsecond, 10*time.Microsecond, time.Second), More: n.Duration("more", 250*time.Microsecond, 0, time.Second)}
+	n.Done()
+	b := s.Table("backends")
+	c.Backends = region.Backends{Count: b.Whole("count", 100, 1, 100_000), Zones: b.Whole("zones", 2, 1, 1000), Slots: b.Whole("slots", 8, 1, 100_000),
+		Queue: b.Whole("queue", 32, 0, 100_000), Connect: b.Duration("connect", 250*time.Millisecond, time.Millisecond, time.Minute),
+		Restart: b.Duration("restart", 5*time.Second, time.Millisecond, time.Hour)}
+	c.Backends.Cells = b.Whole("cells", max(1, c.Backends.Count/8), 1, 100_000)
+	c.Backends.Service = region.Dist{Shape: region.Shape(b.OneOf("service", "exponential", "constant", "exponential", "lognormal", "pareto")),
+		Mean: b.Duration("mean", 40*time.Millisecond, time.Microsecond, time.Hour), Spread: b.Number("spread", 0, 0, 100), Cut: b.Number("cut", 0, 0, 1e6)}
+	b.Done()
+	k := s.Table("clients")
+	c.Clients = region.Clients{Customers: k.Whole("customers", 1000, 1, 10_000_000), Zipf: k.Number("zipf", 0, 0, 10), Strangers: k.Number("strangers", 0, 0, 1),
+		Spread: k.Whole("spread", 2, 1, 4096), Units: k.Number("units", 1, 1e-6, 1e6), Tries: k.Whole("tries", 3, 1, 100), Follow: k.Number("follow", 1, 0, 1),
+		Backoff: k.Duration("backoff", 100*time.Millisecond, 0, time.Minute)}
+	k.Done()
+	a := s.Table("arrivals")
+	c.Arrivals = region.Arrivals{Rate: a.Number("rate", 1000, 1e-6, 1e7), Burst: a.Number("burst", 0, 0, 1000), BurstFor: a.Duration("burst_for", time.Second, time.Millisecond, day),
+		Calm: a.Duration("calm", 10*time.Second, time.Millisecond, day), Day: a.Duration("day", 0, 0, day), Depth: a.Number("depth", 0, 0, 1)}
+	path := a.Text("trace", false)
+	a.Done()
+	readRules(s, c)
+	for _, f := range s.List("fault") {
+		kind := region.FaultKind(f.OneOf("kind", "", region.FaultNames...))
+		if _, there := f.Get("kind"); !there {
+			d.Bad(f.Path, "kind", "it is missing")
+		}
+		c.Faults = append(c.Faults, region.Fault{Kind: kind, At: f.Duration("at", 0, 0, day), For: f.Duration("for", 10*time.Second, time.Millisecond, day),
+			Zone: f.Whole("zone", 0, 0, 1000), By: f.Number("by", 1, 0, 1e6), Share: f.Number("share", 0, 0, 1000)})
+		f.Done()
+	}
+	s.Done()
+	if path == "" {
+		return
+	}
+	text, err := trace(path)
+	if err == nil {
+		c.Arrivals.Trace, err = ReadTrace(text)
+	}
+	if err != nil {
+		d.Bad("region.arrivals", "trace", "%v", err)
+	}
+}
+
+// readRules reads classes, plans and what else the decision module is told.
+func readRules(s *settings.Section, c *region.Config) {
+	g := s.Table("settings")
+	set := &c.Settings
+	*set = decision.Settings{FrontDoors: c.Doors, CanCancel: g.Yes("can_cancel", true), MaxAttempts: g.Whole("max_attempts", 3, 1, 100),
+		MaxRetryAfter: g.Duration("max_retry_after", time.Second, 0, time.Hour), AnswerGrace: 50 * time.Millisecond,
+		DrainGrace: g.Duration("drain_grace", 2*time.Second, 0, time.Hour), ColdFrom: g.Number("cold_from", 0.2, 0, 1),
+		WarmWithin: g.Duration("warm_within", 14*time.Second, 0, time.Hour), FallMultiple: g.Number("fall_multiple", 4, 0, 1000),
+		FallFor: g.Duration("fall_for", 3*time.Second, 0, time.Hour)}
+	if g.Yes("meter", true) {
+		set.MeterPeriod = 500 * time.Millisecond
+	}
+	g.Done()
+	for _, e := range s.List("class") {
+		k := decision.Class{Name: e.Text("name", true), Effect: decision.Effect(e.OneOf("effect", "safe", "safe", "keyed", "unsafe")),
+			Group: decision.Group(e.OneOf("group", "all", "all", "zone", "cell")), KeyWindow: e.Duration("key_window", 0, 0, day),
+			Deadline: e.Duration("deadline", 3*time.Second, time.Millisecond, time.Hour), Worth: e.Number("worth", 1, 0, much), LateWorth: e.Number("late_worth", 0, 0, 1)}
+		k.Aim = e.Duration("aim", k.Deadline/3, time.Millisecond, time.Hour)
+		set.Classes = append(set.Classes, k)
+		c.Clients.Mix = append(c.Clients.Mix, region.Share{Name: k.Name, Part: e.Number("share", 1, 0, 1e6)})
+		e.Done()
+	}
+	for _, e := range s.List("plan") {
+		p := decision.Plan{Name: e.Text("name", true), Rate: e.Number("rate", 0, 0, much), Burst: e.Number("burst", 0, 0, much), Price: e.Number("price", 1, 0, much),
+			CeilingRate: e.Number("ceiling_rate", 0, 0, much), CeilingBurst: e.Number("ceiling_burst", 0, 0, much), CeilingSlack: e.Number("ceiling_slack", 0, 0, much)}
+		set.Plans = append(set.Plans, p)
+		c.Clients.Plans = append(c.Clients.Plans, region.Share{Name: p.Name, Part: e.Number("share", 1, 0, 1e6)})
+		e.Done()
+	}
+	if len(set.Classes) == 0 {
+		set.Classes, c.Clients.Mix = []decision.Class{{Name: "look", Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}}, []region.Share{{Name: "look", Part: 1}}
+	}
+	if len(set.Plans) == 0 {
+		set.Plans, c.Clients.Plans = []decision.Plan{{Name: "everyone", Price: 1}}, []region.Share{{Name: "everyone", Part: 1}}
+	}
+}
+
+// ReadFile reads an experiment's file; traces are found beside it.
+func ReadFile(path string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	e, err := Parse(text, traceBeside(filepath.Dir(path)))
+	if err != nil {
+		return nil, fmt.Errorf("%s:\n%w", path, err)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,308 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pumicecroft/internal/paired"
+	"pumicecroft/internal/region"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/datadriven"
+)
+
+func TestProblems(t *testing.T) {
+	traces := func(path string) ([]byte, error) {
+		if path == "odd.csv" {
+			return []byte("at,customer,class,units\n0,1,look,1\n1,x,look,1\n"), nil
+		}
+		return nil, fmt.Errorf("there is no %s", path)
+	}
+	datadriven.RunTest(t, "testdata/problems", func(t *testing.T, d *datadriven.TestData) string {
+		e, err := Parse([]byte("name = \"x\"\n"+d.Input), traces)
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		var b strings.Builder
+		for _, c := range e.Cells {
+			fmt.Fprintf(&b, "%s: %s, %d doors, %d backends, rate %v\n", strings.Join(c.Levels, " / "), c.Config.Policy, c.Config.Doors, c.Config.Backends.Count, c.Config.Arrivals.Rate)
+		}
+		return b.String()
+	})
+}
+
+const experiment = `name = "small"
+repetitions = %d
+figures = ["worth", "p99_ms", "doubled"]
+[region]
+doors = 2
+length = "5s"
+warmup = "1s"
+[region.backends]
+count = 8
+slots = 2
+[region.clients]
+customers = 50
+[region.arrivals]
+rate = 200
+[[factor]]
+name = "service"
+[[factor.level]]
+name = "as it is"
+[[factor.level]]
+name = "the same"
+set = { doors = 2 }
+[[factor.level]]
+name = "a tenth slower"
+set = { "backends.mean" = "44ms" }
+`
+
+func write(t *testing.T, dir string, repetitions int, more string) string {
+	t.Helper()
+	path := filepath.Join(dir, "small.toml")
+	if err := os.WriteFile(path, []byte(fmt.Sprintf(experiment, repetitions)+more), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Runs are kept, gone on with, and compared: what is the same can't be told, what is a tenth slower is worse.
+func TestRunAndCompare(t *testing.T) {
+	dir := t.TempDir()
+	file, out := write(t, dir, 3, ""), filepath.Join(dir, "out")
+	ctx, stop := context.WithCancel(t.Context())
+	ran, err := Run(ctx, file, out, RunOptions{Jobs: 2, Told: func(done, _ int, _ *Row) {
+		if done == 4 {
+			stop()
+		}
+	}})
+	if !errors.Is(err, context.Canceled) || ran.Now < 4 || ran.Now > 5 {
+		t.Fatalf("ended early: %+v, %v", ran, err)
+	}
+	// What it has by then is good as it is.
+	if text, err := readAndReport(out); err != nil || !strings.Contains(text, "| as it is |") {
+		t.Errorf("%v: %s", err, text)
+	}
+	was := ran.Now
+	if ran, err = Run(t.Context(), file, out, RunOptions{Jobs: 3}); err != nil || ran.Before != was || ran.Now != 9-was {
+		t.Fatalf("gone on with: %+v, %v", ran, err)
+	}
+	// More repetitions are the same experiment; and one run alone on many processors comes to the same.
+	file = write(t, dir, 8, "")
+	if ran, err = Run(t.Context(), file, out, RunOptions{Jobs: 4}); err != nil || ran.Before != 9 || ran.Now != 15 {
+		t.Fatalf("more repetitions: %+v, %v", ran, err)
+	}
+	r, err := Read(out)
+	if err != nil || len(r.Rows) != 24 {
+		t.Fatalf("%d rows, %v", len(r.Rows), err)
+	}
+	told, err := Within(r, "service", "", "", r.Figures(), paired.Rules{})
+	if err != nil || len(told) != 6 {
+		t.Fatalf("%+v, %v", told, err)
+	}
+	for _, c := range told {
+		want := paired.Same
+		if c.B == "a tenth slower" && c.Figure.Name == "p99_ms" {
+			want = paired.Worse
+		}
+		if c.B == "the same" && c.Told.Verdict != want || want == paired.Worse && c.Told.Verdict != want {
+			t.Errorf("%s against %s in %s: %s, %+v", c.B, c.A, c.Figure.Name, c.Verdict(), c.Told)
+		}
+	}
+	if _, err := Within(r, "service", "x", "", r.Figures(), paired.Rules{}); !errors.Is(err, ErrNoLevel) {
+		t.Error(err)
+	}
+	if told, err = Across(r, r, "a", "b", r.Figures(), paired.Rules{}); err != nil || len(told) != 9 || told[0].Told.Verdict != paired.Same {
+		t.Errorf("%+v, %v", told, err)
+	}
+	page, err := HTML(r, "", paired.Rules{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"<svg", "Latency of served calls", "a tenth slower", `class="word worse"`, "24 runs, 0 failed"} {
+		if !strings.Contains(string(page), want) {
+			t.Errorf("the page lacks %s", want)
+		}
+	}
+	for _, outside := range []string{"src=", "href=\"http", "url("} {
+		if strings.Contains(string(page), outside) {
+			t.Errorf("the page wants %s from elsewhere", outside)
+		}
+	}
+}
+
+func readAndReport(dir string) (string, error) {
+	r, err := Read(dir)
+	if err != nil {
+		return "", err
+	}
+	text, err := Markdown(r, "", paired.Rules{})
+	return string(text), err
+}
+
+// Results of another experiment or build, a second writer, a torn result: each is seen.
+func TestDirectories(t *testing.T) {
+	dir := t.TempDir()
+	file, out := write(t, dir, 1, ""), filepath.Join(dir, "out")
+	if _, err := Run(t.Context(), file, out, RunOptions{Jobs: 4}); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := Parse(text, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := Open(out, e, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Run(t.Context(), file, out, RunOptions{Jobs: 1}); !errors.Is(err, ErrBusy) {
+		t.Errorf("two writers: %v", err)
+	}
+	d.Close()
+	other := write(t, t.TempDir(), 1, "[[factor.level]]\nname = \"one more\"\n")
+	if _, err := Run(t.Context(), other, out, RunOptions{Jobs: 1}); !errors.Is(err, ErrOther) {
+		t.Errorf("another experiment: %v", err)
+	}
+
+	files, _ := filepath.Glob(filepath.Join(out, "runs", "*.json"))
+	whole, err := os.ReadFile(files[0])
+	if err != nil || len(files) != 3 {
+		t.Fatal(files, err)
+	}
+	for name, torn := range map[string][]byte{
+		"cut":       whole[:len(whole)/2],
+		"empty":     nil,
+		"a bit off": append([]byte{whole[0], whole[1] ^ 1}, whole[2:]...),
+		"no sum":    whole[:len(whole)-18],
+	} {
+		if err := os.WriteFile(files[0], torn, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if r, err := Read(out); err != nil || len(r.Rows) != 2 || len(r.Torn) != 1 {
+			t.Errorf("%s: %d rows, %v, %v", name, len(r.Rows), r.Torn, err)
+		}
+	}
+	ran, err := Run(t.Context(), file, out, RunOptions{Jobs: 1})
+	if err != nil || ran.Now != 1 || len(ran.Torn) != 1 {
+		t.Errorf("made again: %+v, %v", ran, err)
+	}
+	if again, err := os.ReadFile(files[0]); err != nil || string(again) != string(whole) {
+		t.Errorf("the same run came to something else: %v", err)
+	}
+	// One that is renamed is of another run than it says.
+	if err := os.Rename(files[0], strings.Replace(files[0], "-00000", "-00007", 1)); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := Read(out); err != nil || len(r.Torn) != 1 {
+		t.Errorf("renamed: %v, %v", r.Torn, err)
+	}
+	row, err := readRow(files[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	row.Build = "another"
+	if err := d.Put(row); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Run(t.Context(), file, out, RunOptions{Jobs: 1}); !errors.Is(err, ErrBuild) {
+		t.Errorf("another build: %v", err)
+	}
+}
+
+// A level whose runs all fail, one run alone, and one whose calls are all refused are told as what they are.
+func TestOddLevels(t *testing.T) {
+	dir := t.TempDir()
+	file, out := write(t, dir, 2, `[[factor.level]]
+name = "nobody is served"
+set = { "backends.mean" = "1h" }
+`), filepath.Join(dir, "out")
+	if _, err := Run(t.Context(), file, out, RunOptions{Jobs: 4}); err != nil {
+		t.Fatal(err)
+	}
+	r, err := Read(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &Dir{path: out}
+	for _, row := range r.Rows {
+		if row.Cell[0] == "the same" {
+			row.Failed, row.Figures, row.Latency = "it panicked: <x> | y", nil, nil
+			if err := d.Put(row); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if row.Cell[0] == "as it is" && row.Repetition == 1 {
+			if err := os.Remove(filepath.Join(out, "runs", row.name())); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	text, err := readAndReport(out)
+	for _, want := range []string{"the same: 2 runs failed: it panicked", "| the same | 0 | - | - | - |", "| as it is | 1 | 1.000 |", "| nobody is served | 2 | 0.000 ± 0.000 |",
+		"| the same | worth | 0.000 | 0.000 to 0.000 | there is no pair |", "can't tell; some 4 more would"} {
+		if err != nil || !strings.Contains(text, want) {
+			t.Errorf("%v: lacks %q\n%s", err, want, text)
+		}
+	}
+	if r, err = Read(out); err != nil {
+		t.Fatal(err)
+	}
+	page, err := HTML(r, "", paired.Rules{})
+	if err != nil || strings.Contains(string(page), "<x>") || strings.Contains(string(page), "NaN") {
+		t.Errorf("%v, or it holds what a level said, or a NaN", err)
+	}
+	// Latencies beyond the histogram's range are counted.
+	res := region.Result{Latency: hdrhistogram.New(1, 1000, 3), Beyond: 3}
+	row, err := newRow(&res)
+	if err != nil || row.Beyond != 3 || row.Figures["worth"] != 0 {
+		t.Errorf("%+v, %v", row, err)
+	}
+}
+
+// What a run comes to does not hang on how many processors run it.
+func TestWorkers(t *testing.T) {
+	e, err := Parse(fmt.Appendf(nil, experiment, 1), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var first region.Result
+	for i, workers := range []int{1, 2, 3, 5} {
+		c := e.Cells[0].Config
+		c.Shards = 5
+		r, err := region.New(c, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := Emulate(t.Context(), r, workers); err != nil {
+			t.Fatal(err)
+		}
+		got := r.Result()
+		if i == 0 {
+			first = got
+		} else if got.Counts != first.Counts || got.Events != first.Events || !got.Latency.Equals(first.Latency) {
+			t.Errorf("%d workers: %+v, want %+v", workers, got.Counts, first.Counts)
+		}
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	for _, workers := range []int{1, 4} {
+		c := e.Cells[0].Config
+		c.Shards = 5
+		r, err := region.New(c, 3)
+		if err == nil {
+			err = Emulate(ctx, r, workers)
+		}
+		if !errors.Is(err, context.Canceled) {
+			t.Errorf("%d workers that were told to end: %v", workers, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/rows.go
@@ -0,0 +1,251 @@
+package lab
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"pumicecroft/internal/region"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cespare/xxhash/v2"
+	"github.com/gofrs/flock"
+)
+
+// Row is what came of one run.
+type Row struct {
+	Experiment string             `json:"experiment"` // its digest
+	Build      string             `json:"build"`      // the program that ran it
+	Cell       []string           `json:"cell"`       // the level of each factor
+	Repetition int                `json:"repetition"`
+	Seed       uint64             `json:"seed"`
+	Failed     string             `json:"failed,omitempty"` // why there is nothing else
+	Figures    map[string]float64 `json:"figures,omitempty"`
+	Counts     region.Counts      `json:"counts"`
+	Latency    []byte             `json:"latency,omitempty"` // an HDR histogram's compressed form, microseconds
+	Beyond     int                `json:"beyond"`            // latencies above its range, which are in no quantile
+	Seconds    []region.Second    `json:"seconds,omitempty"`
+	Events     uint64             `json:"events"`
+}
+
+func newRow(r *region.Result) (Row, error) {
+	row := Row{Figures: map[string]float64{}, Counts: r.Counts, Beyond: r.Beyond, Seconds: r.Seconds, Events: r.Events}
+	for _, f := range Figures {
+		row.Figures[f.Name] = f.of(r)
+	}
+	var err error
+	row.Latency, err = r.Latency.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	return row, err
+}
+
+// Histogram gives the latencies.
+func (r *Row) Histogram() (*hdrhistogram.Histogram, error) { return hdrhistogram.Decode(r.Latency) }
+
+// What a directory of results may say.
+var (
+	ErrBusy    = errors.New("another run writes there")
+	ErrOther   = errors.New("results of another experiment")
+	ErrBuild   = errors.New("results of another build")
+	ErrDamaged = errors.New("a result is damaged")
+)
+
+// Dir is a directory of results, of one experiment by one build, which one run at a time writes. Each result is a file of its own
+// that has its checksum and takes its name only when it is whole and on disk: one that is torn is never read as a good one.
+type Dir struct {
+	path string
+	lock *flock.Flock
+}
+
+const (
+	experimentFile = "experiment.toml"
+	lockFile       = "lock"
+	suffix         = ".json"
+)
+
+// Open opens a directory for a run of an experiment, and makes it if need be. What is there already must be of the same experiment,
+// whose repetitions may differ, and of the same build.
+func Open(path string, e *Experiment, text []byte) (*Dir, error) {
+	if err := os.MkdirAll(filepath.Join(path, "runs"), 0o755); err != nil {
+		return nil, err
+	}
+	d := &Dir{path: path, lock: flock.New(filepath.Join(path, lockFile))}
+	if got, err := d.lock.TryLock(); err != nil {
+		return nil, err
+	} else if !got {
+		return nil, fmt.Errorf("%s: %w", path, ErrBusy)
+	}
+	old, err := os.ReadFile(filepath.Join(path, experimentFile))
+	if err == nil {
+		was, err := Parse(old, tracesIn(path))
+		if err != nil {
+			d.Close()
+			return nil, fmt.Errorf("%s:\n%w", filepath.Join(path, experimentFile), err)
+		}
+		if was.Digest != e.Digest {
+			d.Close()
+			return nil, fmt.Errorf("%s: %w: %q", path, ErrOther, was.Name)
+		}
+	} else if !errors.Is(err, os.ErrNotExist) {
+		d.Close()
+		return nil, err
+	}
+	err = nil
+	for name, text := range e.traces {
+		err = errors.Join(err, writeWhole(traceIn(path, name), text))
+	}
+	if err = errors.Join(err, writeWhole(filepath.Join(path, experimentFile), text)); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// traceBeside reads traces by paths that are from a directory.
+func traceBeside(dir string) func(string) ([]byte, error) {
+	return func(path string) ([]byte, error) {
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(dir, path)
+		}
+		return os.ReadFile(path)
+	}
+}
+
+// traceIn is where a directory of results keeps a trace that its experiment names.
+func traceIn(dir, name string) string {
+	return filepath.Join(dir, fmt.Sprintf("trace-%016x.csv", xxhash.Sum64String(name)))
+}
+
+func tracesIn(dir string) func(string) ([]byte, error) {
+	return func(name string) ([]byte, error) { return os.ReadFile(traceIn(dir, name)) }
+}
+
+// Close lets another run in.
+func (d *Dir) Close() { _ = d.lock.Unlock() }
+
+// writeWhole writes a file that is there whole or not at all, whatever happens meanwhile.
+func writeWhole(path string, text []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), ".new-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name()) // it has its other name by then, if all went well
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Chmod(0o644), f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), path)
+}
+
+// Put keeps a row.
+func (d *Dir) Put(row *Row) error {
+	text, err := json.Marshal(row)
+	if err != nil {
+		return err
+	}
+	text = fmt.Appendf(text, "\n%016x\n", xxhash.Sum64(text))
+	return writeWhole(filepath.Join(d.path, "runs", row.name()), text)
+}
+
+// name is a row's file, which is that of its cell and repetition.
+func (r *Row) name() string {
+	return fmt.Sprintf("%016x-%05d%s", xxhash.Sum64String(strings.Join(r.Cell, "\x00")), r.Repetition, suffix)
+}
+
+// readRow reads one file.
+func readRow(path string) (*Row, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	body, sum, _ := bytes.Cut(text, []byte("\n"))
+	var row Row
+	if want := fmt.Appendf(nil, "%016x\n", xxhash.Sum64(body)); !bytes.Equal(sum, want) {
+		return nil, fmt.Errorf("%s: %w: its checksum is another", path, ErrDamaged)
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if err := dec.Decode(&row); err != nil {
+		return nil, fmt.Errorf("%s: %w: %w", path, ErrDamaged, err)
+	}
+	if row.name() != filepath.Base(path) {
+		return nil, fmt.Errorf("%s: %w: it is of another run", path, ErrDamaged)
+	}
+	return &row, nil
+}
+
+// Results are an experiment and its rows.
+type Results struct {
+	*Experiment
+	Rows []*Row // by cell, then repetition
+	Torn []error
+}
+
+// Read reads a directory. A result that is damaged is told in Torn and is not among the rows.
+func Read(path string) (*Results, error) {
+	text, err := os.ReadFile(filepath.Join(path, experimentFile))
+	if err != nil {
+		return nil, err
+	}
+	e, err := Parse(text, tracesIn(path))
+	if err != nil {
+		return nil, fmt.Errorf("%s:\n%w", filepath.Join(path, experimentFile), err)
+	}
+	out := &Results{Experiment: e}
+	files, err := filepath.Glob(filepath.Join(path, "runs", "*"+suffix))
+	if err != nil {
+		return nil, err
+	}
+	order := map[string]int{}
+	for i, c := range e.Cells {
+		order[strings.Join(c.Levels, "\x00")] = i
+	}
+	at := func(r *Row) (int, bool) {
+		i, ok := order[strings.Join(r.Cell, "\x00")]
+		return i, ok
+	}
+	for _, f := range files {
+		row, err := readRow(f)
+		if errors.Is(err, ErrDamaged) {
+			out.Torn = append(out.Torn, err)
+			continue
+		} else if err != nil {
+			return nil, err
+		}
+		if _, ok := at(row); row.Experiment != e.Digest || !ok {
+			return nil, fmt.Errorf("%s: %w", f, ErrOther)
+		}
+		out.Rows = append(out.Rows, row)
+	}
+	slices.SortFunc(out.Rows, func(a, b *Row) int {
+		i, _ := at(a)
+		j, _ := at(b)
+		if i != j {
+			return i - j
+		}
+		return a.Repetition - b.Repetition
+	})
+	return out, nil
+}
+
+// buildOf tells programs apart: the checksum of the one that runs.
+func buildOf() (string, error) {
+	path, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return "", err
+	}
+	defer f.Close()
+	h := xxhash.New()
+	if _, err := io.Copy(h, f); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%016x", h.Sum64()), nil
+}
