Load tool in open loop; reports with an overview, and worth net of what was beyond quotas

Reports have each figure over the levels, against size where levels are numbers, and figures in rows. The figure net leaves out what units beyond quotas earned.

--- a/cmd/pumicecroft/commands_test.go
+++ b/cmd/pumicecroft/commands_test.go
@@ -88,6 +88,10 @@
 		{"lab run none.toml --jobs 0", 2, "below 1"},
 		{"lab run none.toml", 1, "none.toml"},
 		{"lab compare none", 1, "none"},
+		{"load none.toml 127.0.0.1:1", 1, "none.toml"},
+		{"load ../../lab/load.toml 10.0.0.1:80", 2, "--anywhere"},
+		{"load ../../lab/load.toml 127.0.0.1:1 --rate 0.00001", 2, "a rate of"},
+		{"load ../../lab/load.toml 127.0.0.1:1 --duration 50ms --rate 200", 0, "dial failed"},
 	} {
 		var out bytes.Buffer
 		err := run(t.Context(), strings.Fields(c.args), &out)
--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -61,6 +61,7 @@
 	Members membersCommand `cmd:"" help:"Print what the door that serves by a file believes of each backend, and why."`
 	Demo    demoCommand    `cmd:"" help:"Run a whole deployment on loopback for a short while."`
 	Sim     simCommand     `cmd:"" help:"Run doors in worlds that seeds decide, held to the five rules."`
+	Load    loadCommand    `cmd:"" help:"Ask a door or a backend in open loop, and measure."`
 	Lab     labCommand     `cmd:"" help:"Run experiments in an emulated region, compare and report."`
 	Version versionCommand `cmd:"" help:"Print which build this is."`
 
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -286,6 +286,7 @@
 	}
 	for _, e := range s.List("plan") {
 		p := decision.Plan{Name: e.Text("name", true), Rate: e.Number("rate", 0, 0, much), Burst: e.Number("burst", 0, 0, much), Price: e.Number("price", 1, 0, much),
+			OverWorth: e.Number("over_worth", 0, 0, 1), OverCost: e.Number("over_cost", 0, 0, 1000),
 			CeilingRate: e.Number("ceiling_rate", 0, 0, much), CeilingBurst: e.Number("ceiling_burst", 0, 0, much), CeilingSlack: e.Number("ceiling_slack", 0, 0, much)}
 		set.Plans = append(set.Plans, p)
 		c.Clients.Plans = append(c.Clients.Plans, region.Share{Name: p.Name, Part: e.Number("share", 1, 0, 1e6)})
--- a/internal/lab/figures.go
+++ b/internal/lab/figures.go
@@ -35,6 +35,7 @@
 // Figures are all that a run is measured by.
 var Figures = []Figure{
 	{"worth", true, "the served share of the worth that clients offered, by aims", func(r *region.Result) float64 { return share(r.WorthServed, r.WorthOffered) }},
+	{"net", true, "the same less what was sent on beyond customers' quotas, by the plans' word on what that is worth", func(r *region.Result) float64 { return share(r.WorthServed-r.WorthOver, r.WorthOffered) }},
 	{"served", true, "calls served, of all", ofCalls(func(c *region.Counts) int { return c.Served })},
 	{"in_aim", true, "calls served within their aim, of all", ofCalls(func(c *region.Counts) int { return c.InAim })},
 	{"refused", false, "calls given up after a refusal, of all", ofCalls(func(c *region.Counts) int { return c.Refused })},
@@ -53,7 +54,7 @@
 }
 
 // usualFigures are shown first where an experiment names none.
-var usualFigures = []string{"worth", "served", "refused", "failed", "p50_ms", "p99_ms", "attempts"}
+var usualFigures = []string{"worth", "net", "served", "refused", "failed", "p50_ms", "p99_ms", "attempts"}
 
 // FigureOf gives the figure of a name, or nil.
 func FigureOf(name string) *Figure {
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -8,6 +8,7 @@
 	"image/color"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 
 	"pumicecroft/internal/paired"
@@ -52,7 +53,10 @@
 	jains        []float64
 }
 
-type secondMeans struct{ worth, refused float64 }
+type secondMeans struct {
+	offered        bool
+	worth, refused float64
+}
 
 // report gathers what a report says, by the levels of a factor.
 type report struct {
@@ -63,6 +67,7 @@
 	By           string
 	Parts        []part
 	Figures      []*Figure
+	Overview     []template.HTML
 }
 
 // gather puts a report together; by names the factor whose levels stand side by side, the first if it is empty.
@@ -161,6 +166,7 @@
 			if i == len(l.seconds) {
 				l.seconds = append(l.seconds, secondMeans{})
 			}
+			l.seconds[i].offered = l.seconds[i].offered || s.Offered > 0
 			l.seconds[i].worth += share(s.WorthServed, s.WorthOffered)
 			l.seconds[i].refused += share(float64(s.Refused+s.Failed), float64(s.Offered))
 		}
@@ -212,6 +218,9 @@
 			return nil, err
 		}
 	}
+	if rep.Overview, err = rep.overview(); err != nil {
+		return nil, err
+	}
 	t, err := template.New("report").Funcs(template.FuncMap{"number": number, "signed": signed}).Parse(page)
 	if err != nil {
 		return nil, err
@@ -290,10 +299,8 @@
 		if l.latency == nil || l.latency.TotalCount() == 0 {
 			return nil
 		}
-		for _, b := range l.latency.CumulativeDistribution() {
-			if b.ValueAt > 0 {
-				out = append(out, plotter.XY{X: float64(b.ValueAt) / 1e3, Y: b.Quantile / 100})
-			}
+		for q := 0.1; q < 100; q += 0.2 {
+			out = append(out, plotter.XY{X: max(1, float64(l.latency.ValueAtQuantile(q))) / 1e3, Y: q / 100})
 		}
 		return out
 	}, true)
@@ -318,19 +325,55 @@
 
 func (l *level) series(of func(secondMeans) float64) (out plotter.XYs) {
 	for i, s := range l.seconds {
-		out = append(out, plotter.XY{X: float64(i), Y: of(s)})
+		if s.offered { // not of the warm-up
+			out = append(out, plotter.XY{X: float64(i), Y: of(s)})
+		}
 	}
 	return out
 }
 
+// line styles a series so that it is told apart where others lie on it.
+func style(line *plotter.Line, i int) {
+	line.Color, line.Width, line.Dashes = colours[i%len(colours)], vg.Points(1.6-0.1*float64(min(i, 6))), dashes[i%len(dashes)]
+}
+
+// svg draws a plot.
+func svg(p *plot.Plot, w, h vg.Length) (template.HTML, error) {
+	p.Title.TextStyle.Font.Size, p.Legend.TextStyle.Font.Size = 13, 10
+	canvas := vgsvg.New(w, h)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", err
+	}
+	text := b.String()
+	if i := strings.Index(text, "<svg"); i >= 0 { // the page has its own heading
+		text = text[i:]
+	}
+	return template.HTML(text), nil // names of levels are escaped by the canvas
+}
+
+// wholeTicks label an axis without decimals that say nothing.
+type wholeTicks struct{ plot.DefaultTicks }
+
+// Ticks is plot.Ticker's.
+func (t wholeTicks) Ticks(least, most float64) []plot.Tick {
+	ticks := t.DefaultTicks.Ticks(least, most)
+	for i := range ticks {
+		if ticks[i].Label != "" {
+			ticks[i].Label = strconv.FormatFloat(ticks[i].Value, 'g', 4, 64)
+		}
+	}
+	return ticks
+}
+
 // chart draws a line for each level.
 func (p *part) chart(title, x, y string, of func(l *level) plotter.XYs, logarithmic bool) (template.HTML, error) {
 	c := plot.New()
 	c.Title.Text, c.X.Label.Text, c.Y.Label.Text = title, x, y
-	c.Title.TextStyle.Font.Size, c.Legend.TextStyle.Font.Size = 13, 10
+	c.X.Tick.Marker = wholeTicks{}
 	c.Add(plotter.NewGrid())
-	c.Y.Min, c.Y.Max = 0, 1
-	least, most := math.Inf(1), 0.0
+	least, most, low, high := math.Inf(1), 0.0, 1.0, 0.0
 	for i := range p.Levels {
 		xys := of(&p.Levels[i])
 		if len(xys) == 0 {
@@ -340,28 +383,102 @@
 		if err != nil {
 			return "", err
 		}
-		line.Color, line.Width, line.Dashes = colours[i%len(colours)], 1.5, dashes[i/len(colours)%len(dashes)]
+		style(line, i)
 		c.Add(line)
 		c.Legend.Add(p.Levels[i].Name, line)
 		least, most = min(least, xys[0].X), max(most, xys[len(xys)-1].X)
+		for _, v := range xys {
+			low, high = min(low, v.Y), max(high, v.Y)
+		}
 	}
+	c.Y.Min, c.Y.Max = 0, max(1e-3, 1.05*high)
+	if low > 0.5 {
+		c.Y.Min = low - 0.05
+	}
+	c.Legend.Top, c.Legend.Left = logarithmic, logarithmic
+	c.Legend.ThumbnailWidth = vg.Points(24)
 	if logarithmic && most > least && least > 0 {
 		c.X.Scale, c.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 		c.X.Min, c.X.Max = math.Pow(10, math.Floor(math.Log10(least))), math.Pow(10, math.Ceil(math.Log10(most)))
-		c.Legend.Top, c.Legend.Left = true, true
-	} else {
-		c.Legend.Top = false
 	}
-	const w, h = 15 * vg.Centimeter, 8 * vg.Centimeter
-	canvas := vgsvg.New(w, h)
-	c.Draw(draw.New(canvas))
-	var b bytes.Buffer
-	if _, err := canvas.WriteTo(&b); err != nil {
-		return "", err
+	return svg(c, 15*vg.Centimeter, 8*vg.Centimeter)
+}
+
+// overview draws each figure over the levels, a line for each place: against their size, where levels are numbers.
+func (r *report) overview() (out []template.HTML, err error) {
+	var sizes []float64
+	if len(r.Parts) == 0 || len(r.Parts[0].Levels) < 2 {
+		return nil, nil
 	}
-	text := b.String()
-	if i := strings.Index(text, "<svg"); i >= 0 { // the page has its own heading
-		text = text[i:]
+	names := r.Parts[0].Levels
+	for _, l := range names {
+		if v, err := strconv.ParseFloat(strings.ReplaceAll(l.Name, ",", ""), 64); err == nil && v > 0 {
+			sizes = append(sizes, v)
+		}
 	}
-	return template.HTML(text), nil // names of levels are escaped by the canvas
+	numbers := len(sizes) == len(names)
+	for f, figure := range r.Figures {
+		c := plot.New()
+		c.Title.Text, c.X.Label.Text = figure.Name, r.By
+		c.Add(plotter.NewGrid())
+		high := 0.0
+		var ticks []plot.Tick
+		for i := range names {
+			x := float64(i)
+			if numbers {
+				x = sizes[i]
+			}
+			ticks = append(ticks, plot.Tick{Value: x, Label: names[i].Name})
+		}
+		for i, p := range r.Parts {
+			var xys errorXYs
+			for j, l := range p.Levels {
+				if mean, sd := l.Means[f], l.Spreads[f]; !math.IsNaN(mean) {
+					if math.IsNaN(sd) {
+						sd = 0
+					}
+					xys.XYs, xys.YErrors = append(xys.XYs, plotter.XY{X: ticks[j].Value, Y: mean}), append(xys.YErrors, struct{ Low, High float64 }{sd, sd})
+					high = max(high, mean+sd)
+				}
+			}
+			if len(xys.XYs) == 0 {
+				continue
+			}
+			line, err := plotter.NewLine(xys.XYs)
+			if err != nil {
+				return nil, err
+			}
+			bars, err := plotter.NewYErrorBars(xys)
+			if err != nil {
+				return nil, err
+			}
+			style(line, i)
+			bars.Color = line.Color
+			c.Add(line, bars)
+			if p.Where != "" {
+				c.Legend.Add(p.Where, line)
+			}
+		}
+		c.Y.Min, c.Y.Max = 0, max(1e-6, (1.1+0.09*float64(len(r.Parts)))*high) // room for the legend
+		c.X.Tick.Marker = plot.ConstantTicks(ticks)
+		c.Legend.Top = true
+		c.Legend.ThumbnailWidth = vg.Points(24)
+		if numbers {
+			c.X.Scale = plot.LogScale{}
+		} else {
+			c.X.Min, c.X.Max = -0.3, float64(len(names))-0.7
+		}
+		text, err := svg(c, 12*vg.Centimeter, 7*vg.Centimeter)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, text)
+	}
+	return out, nil
+}
+
+// errorXYs are means with their spreads.
+type errorXYs struct {
+	plotter.XYs
+	plotter.YErrors
 }
--- /dev/null
+++ b/internal/load/plan.go
@@ -0,0 +1,252 @@
+// Package load asks a door or a backend in open loop: when each request is asked is drawn ahead, and its latency counts from then, whatever
+// the one before it did (a closed loop leaves out what it could not ask while it waited: coordinated omission). plan.go reads what to
+// ask and draws it, run.go asks, http.go and grpc.go are the ways to ask, result.go what came of it.
+//
+// It opens connections to one target, and files that its caller names. A run is bounded in time, requests and connections.
+package load
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"pumicecroft/internal/settings"
+	"pumicecroft/internal/virtual"
+)
+
+// Plan is what is asked.
+type Plan struct {
+	Name        string
+	Seed        uint64
+	Rate        float64 // requests a second
+	Even        bool    // at even steps; else as a Poisson process
+	Duration    time.Duration
+	Requests    int           // at the most
+	Connections int           // that are open at once
+	Open        int           // requests that wait at once, for a connection or an answer; one more counts as lost
+	Timeout     time.Duration // of a request, from when it should have been asked
+	Follow      float64       // the share of clients that come back when a refusal says; others do not
+	Tries       int           // of a client that does
+	Customers   int
+	Zipf        float64 // exponent of their popularity, above 1; 0: all alike
+	Plans       []Weight
+	Kinds       []Kind
+	MostLag     time.Duration // the 99th percentile of how late requests are asked, over which the run is not valid
+}
+
+// Weight is how much of something there is.
+type Weight struct {
+	Name string
+	Part float64
+}
+
+// Kind is one kind of request. In Path, Headers and Body, {id}, {customer}, {plan}, {key} and {timeout} are filled in.
+type Kind struct {
+	Name    string
+	Part    float64
+	GRPC    bool // Path is a method such as /shop.Desk/Pay, Headers are metadata
+	Method  string
+	Path    string
+	Headers []Header
+	Body    string
+	Repeat  float64 // the share that asks again with the key of an earlier one
+}
+
+// Header is one field.
+type Header struct{ Name, Value string }
+
+// Shot is one request as it was drawn.
+type Shot struct {
+	At       time.Duration // from the run's start
+	Number   uint64
+	Kind     int
+	Customer int
+	Plan     string
+	Key      uint64
+	Follows  bool // its client follows advice
+}
+
+const (
+	forTimes uint64 = iota + 1
+	forShot
+	forRun
+)
+
+// repeatWithin is how many earlier ones a repeated key is drawn from.
+const repeatWithin = 1000
+
+// Drawer draws a plan's shots, one after another. The same plan gives the same shots.
+type Drawer struct {
+	p      *Plan
+	times  *rand.Rand
+	shots  *rand.Rand
+	zipf   *rand.Zipf
+	at     time.Duration
+	number uint64
+	recent [][]uint64 // keys, by kind
+}
+
+// NewDrawer begins to draw.
+func NewDrawer(p *Plan) *Drawer {
+	d := &Drawer{p: p, times: virtual.Chance(p.Seed, forTimes), shots: virtual.Chance(p.Seed, forShot), recent: make([][]uint64, len(p.Kinds))}
+	if p.Zipf > 0 && p.Customers > 1 {
+		d.zipf = rand.NewZipf(d.shots, p.Zipf, 1, uint64(p.Customers-1))
+	}
+	return d
+}
+
+// Next is the next shot, if the plan has one more.
+func (d *Drawer) Next() (Shot, bool) {
+	p := d.p
+	step := 1 / p.Rate
+	if !p.Even {
+		step *= d.times.ExpFloat64()
+	}
+	d.at += time.Duration(step * float64(time.Second))
+	if d.at >= p.Duration || d.number >= uint64(p.Requests) {
+		return Shot{}, false
+	}
+	d.number++
+	s := Shot{At: d.at, Number: d.number, Plan: p.Plans[pick(d.shots, len(p.Plans), func(i int) float64 { return p.Plans[i].Part })].Name,
+		Kind: pick(d.shots, len(p.Kinds), func(i int) float64 { return p.Kinds[i].Part }), Follows: d.shots.Float64() < p.Follow}
+	if d.zipf != nil {
+		s.Customer = int(d.zipf.Uint64())
+	} else {
+		s.Customer = d.shots.IntN(p.Customers)
+	}
+	s.Key = virtual.Mix(p.Seed ^ d.number)
+	if keys := d.recent[s.Kind]; len(keys) > 0 && d.shots.Float64() < p.Kinds[s.Kind].Repeat {
+		s.Key = keys[d.shots.IntN(len(keys))]
+		return s, true
+	}
+	if p.Kinds[s.Kind].Repeat > 0 {
+		if d.recent[s.Kind] = append(d.recent[s.Kind], s.Key); len(d.recent[s.Kind]) > repeatWithin {
+			d.recent[s.Kind] = d.recent[s.Kind][1:]
+		}
+	}
+	return s, true
+}
+
+func pick(r *rand.Rand, n int, part func(int) float64) int {
+	sum := 0.0
+	for i := range n {
+		sum += part(i)
+	}
+	at := r.Float64() * sum
+	for i := range n {
+		if at -= part(i); at < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// fill puts a shot's values into a text.
+func fill(text string, s *Shot, try int, timeout time.Duration) string {
+	if !strings.Contains(text, "{") {
+		return text
+	}
+	return strings.NewReplacer("{id}", fmt.Sprintf("%016x", virtual.Mix(s.Number<<8|uint64(try))), "{customer}", fmt.Sprintf("%016x", s.Customer), "{plan}", s.Plan,
+		"{key}", fmt.Sprintf("%016x", s.Key), "{timeout}", fmt.Sprintf("%.3f", timeout.Seconds())).Replace(text)
+}
+
+// platform are the fields of the platform's dialect.
+func platform(class string) []Header {
+	return []Header{{"Request-Id", "{id}"}, {"Request-Class", class}, {"X-Tier", "{plan}"}, {"X-Api-Key", "{customer}"}, {"Request-Timeout", "{timeout}"},
+		{"X-Call-Terms", "units=1,spread=1,first=0"}, {"Idempotency-Key", "{key}"}}
+}
+
+// Parse reads a plan's file; all that is wrong comes in one error, settings.Problems.
+func Parse(text []byte) (*Plan, error) {
+	d, err := settings.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	s := d.Top()
+	p := &Plan{Name: s.Text("name", true), Seed: uint64(s.Whole("seed", 1, 0, math.MaxInt)), Rate: s.Number("rate", 100, 1e-3, 1e6), Even: s.OneOf("arrivals", "poisson", "poisson", "even") == 1,
+		Duration: s.Duration("duration", 10*time.Second, time.Millisecond, 24*time.Hour), Requests: s.Whole("requests", 1_000_000, 1, 1e9), Connections: s.Whole("connections", 64, 1, 60_000),
+		Open: s.Whole("open", 10_000, 1, 1_000_000), Timeout: s.Duration("timeout", 10*time.Second, time.Millisecond, time.Hour), Follow: s.Number("follow", 0, 0, 1),
+		Tries: s.Whole("tries", 3, 1, 100), Customers: s.Whole("customers", 100, 1, 1e9), Zipf: s.Number("zipf", 0, 0, 10), MostLag: s.Duration("most_lag", 10*time.Millisecond, time.Microsecond, time.Minute)}
+	if p.Zipf > 0 && p.Zipf <= 1 {
+		s.Bad("zipf", "%v is not above 1, nor 0 for customers that are alike", p.Zipf)
+	}
+	for _, e := range s.List("plan") {
+		p.Plans = append(p.Plans, Weight{e.Text("name", true), e.Number("share", 1, 0, 1e6)})
+		e.Done()
+	}
+	if len(p.Plans) == 0 {
+		p.Plans = []Weight{{"everyone", 1}}
+	}
+	for _, e := range s.List("request") {
+		p.Kinds = append(p.Kinds, readKind(e))
+	}
+	sum := 0.0
+	for _, k := range p.Kinds {
+		sum += k.Part
+	}
+	if len(p.Kinds) == 0 || sum <= 0 {
+		d.Bad("", "request", "there is none with a share: [[request]] with a name and a path")
+	}
+	s.Done()
+	if err := d.Result(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func readKind(e *settings.Section) Kind {
+	k := Kind{Name: e.Text("name", true), Part: e.Number("share", 1, 0, 1e6), GRPC: e.OneOf("protocol", "http", "http", "grpc") == 1, Path: e.Text("path", true),
+		Body: e.Text("body", false), Repeat: e.Number("repeat_key", 0, 0, 1)}
+	usual := http.MethodGet
+	if k.Body != "" {
+		usual = http.MethodPost
+	}
+	if k.Method = e.Text("method", false); k.Method == "" {
+		k.Method = usual
+	}
+	if k.Path != "" && !strings.HasPrefix(k.Path, "/") {
+		e.Bad("path", "%q does not begin with /", k.Path)
+	}
+	if k.GRPC && strings.Count(k.Path, "/") != 2 {
+		e.Bad("path", "%q is no method such as /shop.Desk/Pay", k.Path)
+	}
+	if e.OneOf("dialect", "plain", "plain", "platform") == 1 {
+		k.Headers = platform(k.Name)
+		if k.Path == "/" {
+			k.Path = "/" + k.Name
+		}
+	}
+	for _, f := range e.Texts("headers") {
+		name, value, ok := strings.Cut(f, ":")
+		if !ok || strings.TrimSpace(name) == "" {
+			e.Bad("headers", "%q is no NAME: VALUE", f)
+		}
+		k.Headers = append(k.Headers, Header{strings.TrimSpace(name), strings.TrimSpace(value)})
+	}
+	e.Done()
+	return k
+}
+
+// Change puts another rate and duration into a plan; 0 and empty leave the plan's.
+func (p *Plan) Change(rate float64, duration string) error {
+	if rate != 0 {
+		if !(rate >= 1e-3 && rate <= 1e6) {
+			return fmt.Errorf("a rate of %v a second: 0.001 to 1e6", rate)
+		}
+		p.Rate = rate
+	}
+	if duration != "" {
+		d, err := time.ParseDuration(duration)
+		if err != nil {
+			return err
+		}
+		if d < time.Millisecond || d > 24*time.Hour {
+			return fmt.Errorf("a duration of %v: 1ms to 24h", d)
+		}
+		p.Duration = d
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,139 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// Options say where a plan is asked, and who hears of it.
+type Options struct {
+	Target   string    // host:port
+	Anywhere bool      // it need not be on this machine
+	Out      io.Writer // gets a line a second; nil: nobody does
+}
+
+// Run asks a plan. When ctx ends it asks nothing more, waits for what is out as long as that has time, and gives what came of it by then.
+// An error means that nothing was asked.
+func Run(ctx context.Context, p *Plan, o Options) (*Result, error) {
+	if err := loopback(o.Target); err != nil && !o.Anywhere {
+		return nil, err
+	}
+	var overH way = newHTTP(o.Target, p.Connections)
+	defer overH.close()
+	var overG way
+	for _, k := range p.Kinds {
+		if k.GRPC && overG == nil {
+			g, err := newGRPC(o.Target, p.Connections)
+			if err != nil {
+				return nil, err
+			}
+			overG = g
+			defer overG.close()
+		}
+	}
+	res := newResult(p, o.Target)
+	r := runner{p: p, res: res, start: time.Now(), room: make(chan bool, p.Open)}
+	stop := r.tell(o.Out)
+	defer stop()
+	var asking sync.WaitGroup
+	draw := NewDrawer(p)
+	for {
+		s, ok := draw.Next()
+		if !ok {
+			break
+		}
+		if !sleep(ctx, time.Until(r.start.Add(s.At))) {
+			res.Partial = true
+			break
+		}
+		lag := time.Since(r.start) - s.At
+		k := &p.Kinds[s.Kind]
+		w := overH
+		if k.GRPC {
+			w = overG
+		}
+		select {
+		case r.room <- true:
+		default: // so many wait already: it is lost, and counts as such
+			res.lost(&s, lag)
+			continue
+		}
+		res.asked(lag)
+		asking.Go(func() {
+			defer func() { <-r.room }()
+			r.client(w, k, &s)
+		})
+	}
+	asking.Wait()
+	res.end(time.Since(r.start))
+	return res, nil
+}
+
+// sleep waits, and tells whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+type runner struct {
+	p     *Plan
+	res   *Result
+	start time.Time
+	room  chan bool
+}
+
+// client is one client's request with its tries. Its time counts from when it should have asked.
+func (r *runner) client(w way, k *Kind, s *Shot) {
+	due := r.start.Add(s.At + r.p.Timeout)
+	ctx, cancel := context.WithDeadline(context.Background(), due)
+	defer cancel()
+	for try := 0; ; try++ {
+		a := w.ask(ctx, k, s, try, time.Until(due))
+		took := time.Since(r.start) - s.At
+		if a.refused && s.Follows && try+1 < r.p.Tries && time.Now().Add(a.retryAfter).Before(due) {
+			r.res.again()
+			if sleep(ctx, a.retryAfter) {
+				continue
+			}
+		}
+		r.res.ended(s, took, &a)
+		return
+	}
+}
+
+// tell says a line a second, until it is stopped.
+func (r *runner) tell(out io.Writer) (stop func()) {
+	if out == nil {
+		return func() {}
+	}
+	ended := make(chan bool)
+	var telling sync.WaitGroup
+	telling.Go(func() {
+		t := time.NewTicker(time.Second)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				fmt.Fprintln(out, r.res.line())
+			case <-ended:
+				return
+			}
+		}
+	})
+	return func() {
+		close(ended)
+		telling.Wait()
+	}
+}
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -93,6 +93,7 @@
 	use       []float32     // by customer, units in the last period that the meter has summed
 	lastMet   []int32       // whose use is not 0
 	quota     quotas
+	meanWorth float64 // of a unit, over the classes as they are asked for
 	discovery discovery
 }
 
@@ -123,6 +124,12 @@
 	}
 	r.use = make([]float32, c.Clients.Customers)
 	r.quota = newQuotas(&c)
+	parts := 0.0
+	for i, share := range c.Clients.Mix {
+		parts += share.Part
+		r.meanWorth += share.Part * c.Settings.Classes[c.classOf[i]].Worth
+	}
+	r.meanWorth /= parts
 	if len(c.Clients.Plans) > 1 {
 		pick := newPicker(c.Clients.Plans)
 		r.planOf = make([]uint8, c.Clients.Customers)
--- a/internal/region/region_test.go
+++ b/internal/region/region_test.go
@@ -266,6 +266,9 @@
 		r.period++
 		r.use[7] = units
 		r.judge(&t, 7, true)
+		if worth := t.UnitsOver * r.meanWorth * 2; math.Abs(t.WorthOver-worth) > 1e-6 || math.Abs(r.meanWorth-(2*1+1*3+1*3)/4.0) > 1e-9 { // the plan's price is 2
+			panic(worth)
+		}
 		return t.UnitsOver, t.Overshoot
 	}
 	for i, step := range []struct{ units, over, past float64 }{
--- a/internal/region/result.go
+++ b/internal/region/result.go
@@ -23,6 +23,7 @@
 	Doubled                                 int // effects that happened again
 	Falls                                   int // cold backends that were sent too much
 	Units, UnitsOver                        float64
+	WorthOver                               float64 // what was earned with units beyond quotas, and is not worth that by the plans
 	Overshoot                               float64 // the most that a customer was beyond its ceiling and the slack, in units
 	PastCeiling                             int     // periods in which one was
 }
@@ -217,6 +218,7 @@
 	if counted {
 		t.Units += used
 		t.UnitsOver += over
+		t.WorthOver += over * r.meanWorth * p.Price * (1 - p.OverWorth + p.OverCost)
 		if t.Overshoot = max(t.Overshoot, past); past > 1e-3 {
 			t.PastCeiling++
 		}
@@ -270,5 +272,5 @@
 	c.WorthOffered, c.WorthServed = c.WorthOffered+o.WorthOffered, c.WorthServed+o.WorthServed
 	c.Tries, c.Attempts, c.Cold, c.Draining = c.Tries+o.Tries, c.Attempts+o.Attempts, c.Cold+o.Cold, c.Draining+o.Draining
 	c.Doubled, c.Falls, c.PastCeiling = c.Doubled+o.Doubled, c.Falls+o.Falls, c.PastCeiling+o.PastCeiling
-	c.Units, c.UnitsOver, c.Overshoot = c.Units+o.Units, c.UnitsOver+o.UnitsOver, max(c.Overshoot, o.Overshoot)
+	c.Units, c.UnitsOver, c.WorthOver, c.Overshoot = c.Units+o.Units, c.UnitsOver+o.UnitsOver, c.WorthOver+o.WorthOver, max(c.Overshoot, o.Overshoot)
 }
