--- a/cmd/pumicecroft/lab.go
+++ b/cmd/pumicecroft/lab.go
@@ -21,6 +21,7 @@
 	Run     labRun     `cmd:"" help:"Make all runs of an experiment that its directory lacks."`
 	Compare labCompare `cmd:"" help:"Say which of two ways is better, by runs under the same chance."`
 	Report  labReport  `cmd:"" help:"Write a directory's results as one page with plots, or as Markdown."`
+	Paper   labPaper   `cmd:"" help:"Solve the loads of the paper that the design goes back to, and print them beside its own figures."`
 	Figures labFigures `cmd:"" help:"Print what a run is measured by."`
 }
 
