--- a/cmd/pumicecroft/lab.go
+++ b/cmd/pumicecroft/lab.go
@@ -17,12 +17,13 @@
 
 // labCommand is the laboratory.
 type labCommand struct {
-	Check   labCheck   `cmd:"" help:"Check an experiment's file, and name key and line of each error."`
-	Run     labRun     `cmd:"" help:"Make all runs of an experiment that its directory lacks."`
-	Compare labCompare `cmd:"" help:"Say which of two ways is better, by runs under the same chance."`
-	Report  labReport  `cmd:"" help:"Write a directory's results as one page with plots, or as Markdown."`
-	Paper   labPaper   `cmd:"" help:"Solve the loads of the paper that the design goes back to, and print them beside its own figures."`
-	Figures labFigures `cmd:"" help:"Print what a run is measured by."`
+	Check    labCheck    `cmd:"" help:"Check an experiment's file, and name key and line of each error."`
+	Run      labRun      `cmd:"" help:"Make all runs of an experiment that its directory lacks."`
+	Compare  labCompare  `cmd:"" help:"Say which of two ways is better, by runs under the same chance."`
+	Report   labReport   `cmd:"" help:"Write a directory's results as one page with plots, or as Markdown."`
+	Variants labVariants `cmd:"" help:"Build the program with edits of its files, one at a time, and compare what they come to."`
+	Paper    labPaper    `cmd:"" help:"Solve the loads of the paper that the design goes back to, and print them beside its own figures."`
+	Figures  labFigures  `cmd:"" help:"Print what a run is measured by."`
 }
 
 type labCheck struct {
@@ -136,6 +137,11 @@
 			return usageError{err}
 		}
 	}
+	return tellCompared(told, out)
+}
+
+// tellCompared prints a table of verdicts.
+func tellCompared(told []lab.Comparison, out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "WHERE\tA\tB\tFIGURE\tPAIRS\tA'S\tB'S\tDIFFERENCE\tINTERVAL\tB IS")
 	for _, t := range told {
