--- /dev/null
+++ b/cmd/pumicecroft/sockets_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"pumicecroft"
+	"pumicecroft/decision"
+	"pumicecroft/internal/lab"
+	"pumicecroft/internal/load"
+	"pumicecroft/internal/region"
+	"pumicecroft/internal/standin"
+	"pumicecroft/membership"
+)
+
+var socketsFlag = flag.Bool("sockets", false, "hold the emulator against sockets, which wants some quiet processors for half a minute")
+
+// The same scenario by the emulator, and by a door, backends and a load on sockets. How far they lie apart is printed; it is a measurement
+// (docs/measurements/0007-laboratory.md), and fails only where they tell different stories.
+//
+//	go test ./cmd/pumicecroft -run TestEmulatorAgainstSockets -sockets -v
+func TestEmulatorAgainstSockets(t *testing.T) {
+	if !*socketsFlag {
+		t.Skip("-sockets is not given")
+	}
+	const length = 8 * time.Second
+	for _, c := range []struct {
+		name string
+		rate float64 // backends do 800 a second
+		work time.Duration
+		slow float64 // one of four
+	}{{"calm", 400, 20 * time.Millisecond, 1}, {"full", 700, 20 * time.Millisecond, 1}, {"overload", 1300, 20 * time.Millisecond, 1}, {"one backend ten times slower", 300, 20 * time.Millisecond, 10}} {
+		settings := decision.Settings{FrontDoors: 1, CanCancel: true, MaxAttempts: 3, MaxRetryAfter: time.Second, AnswerGrace: 50 * time.Millisecond,
+			Classes: []decision.Class{{Name: "look", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1}}, Plans: []decision.Plan{{Name: "shop", Price: 1}}}
+
+		// On sockets.
+		var nodes []membership.Node
+		for i := range 4 {
+			work := c.work
+			if i == 0 {
+				work = time.Duration(float64(work) * c.slow)
+			}
+			b, err := standin.StartBackend(standin.BackendConfig{Name: fmt.Sprint("b", i), Ledger: &standin.Ledger{}, Slots: 4, Queue: 16, Work: func(string) time.Duration { return work }, Keyed: func(string) bool { return false }})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer b.Kill()
+			nodes = append(nodes, membership.Node{Name: fmt.Sprint("b", i), Addr: b.Addr()})
+		}
+		door, err := pumicecroft.New(pumicecroft.Config{Settings: settings, Known: membership.List{Nodes: nodes}, BackendConns: 400, MaxOpen: 4096})
+		if err != nil {
+			t.Fatal(err)
+		}
+		front := httptest.NewServer(door)
+		p, err := load.Parse(fmt.Appendf(nil, "name = \"x\"\nrate = %v\nduration = \"%v\"\nconnections = 1000\n[[plan]]\nname = \"shop\"\n[[request]]\nname = \"look\"\npath = \"/\"\ndialect = \"platform\"\n", c.rate, length))
+		if err != nil {
+			t.Fatal(err)
+		}
+		real, err := load.Run(t.Context(), p, load.Options{Target: strings.TrimPrefix(front.URL, "http://")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		front.Close()
+		_ = door.Close(t.Context())
+
+		// Emulated: a zone of its own for the slow one.
+		cfg := region.Config{Doors: 1, Policy: region.PolicyModule, Settings: settings, Length: length, Network: region.Network{Least: 100 * time.Microsecond, More: 50 * time.Microsecond},
+			Backends: region.Backends{Count: 4, Zones: 4, Cells: 1, Slots: 4, Queue: 16, Service: region.Dist{Shape: region.Constant, Mean: c.work}, Connect: 250 * time.Millisecond, Restart: time.Second},
+			Clients:  region.Clients{Customers: 100, Spread: 1, Units: 1, Tries: 1, Mix: []region.Share{{Name: "look", Part: 1}}, Plans: []region.Share{{Name: "shop", Part: 1}}},
+			Arrivals: region.Arrivals{Rate: c.rate}, Lists: time.Second}
+		if c.slow > 1 {
+			cfg.Faults = []region.Fault{{Kind: region.ZoneSlow, For: length, By: c.slow}}
+		}
+		r, err := region.New(cfg, 1)
+		if err == nil {
+			err = lab.Emulate(t.Context(), r, 1)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		emulated := r.Result()
+
+		ms := func(us int64) float64 { return float64(us) / 1e3 }
+		q := func(of float64) float64 { return ms(emulated.Latency.ValueAtQuantile(of)) }
+		d := func(v time.Duration) float64 { return ms(v.Microseconds()) }
+		servedReal, servedEmulated := float64(real.Good)/float64(real.Asked), float64(emulated.Served)/float64(emulated.Offered)
+		t.Logf("| %s | %.4f | %.4f | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | %s |", c.name, servedReal, servedEmulated, d(real.Served.P50), q(50), d(real.Served.P90), q(90), d(real.Served.P99), q(99), real.Invalid)
+		if diff := servedReal - servedEmulated; diff < -0.08 || diff > 0.08 {
+			t.Errorf("%s: %.3f are served on sockets, %.3f emulated", c.name, servedReal, servedEmulated)
+		}
+	}
+}
