--- a/cmd/pumicecroft/commands_test.go
+++ b/cmd/pumicecroft/commands_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -260,3 +261,42 @@
 		t.Errorf("it ended with %v", err)
 	}
 }
+
+// The program's own words are text or JSON, each with its door, and those below the level are not said.
+func TestLogForms(t *testing.T) {
+	path := file(t, operatorFile)
+	for _, c := range []struct {
+		args []string
+		want string // of the first line
+	}{
+		{[]string{"--log-format", "json"}, `"msg":"serving","door":0`},
+		{nil, `level=INFO msg=serving door=0`},
+	} {
+		cmd := exec.Command(os.Args[0], append([]string{"serve", path}, c.args...)...)
+		cmd.Env = append(os.Environ(), "PUMICECROFT_AS_PROGRAM=1")
+		log, err := cmd.StderrPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		lines := bufio.NewScanner(log)
+		lines.Scan()
+		if line := lines.Text(); !strings.Contains(line, c.want) {
+			t.Errorf("%q: %q, want %q", c.args, line, c.want)
+		}
+		cmd.Process.Signal(syscall.SIGTERM)
+		for lines.Scan() {
+		}
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("%q: %v", c.args, err)
+		}
+	}
+	usual := slog.Default()
+	defer slog.SetDefault(usual)
+	(&program{LogFormat: "json", LogLevel: "error"}).speak()
+	if slog.Default().Enabled(t.Context(), slog.LevelWarn) || !slog.Default().Enabled(t.Context(), slog.LevelError) {
+		t.Error("--log-level error says warnings, or no errors")
+	}
+}
--- a/http.go
+++ b/http.go
@@ -85,11 +85,14 @@
 	}
 	answer, err := d.Do(r.Context(), req)
 	if errors.Is(err, ErrBadRequest) {
-		d.badLog.Do(func() { d.log.Warn("bad request", "from", r.RemoteAddr, "err", err) })
+		d.badLog.Do(func() { d.log.Warn("bad request", "request", hexID(req.ID), "from", r.RemoteAddr, "err", err) })
 	}
 	return answer, err
 }
 
+// hexID is a request's id as clients bring it.
+func hexID(id uint64) string { return fmt.Sprintf("%016x", id) }
+
 // WriteAnswer writes what Do returned, with the status that ServeHTTP tells.
 func WriteAnswer(w http.ResponseWriter, a *Answer, err error) {
 	h := w.Header()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	if err != nil {
 		return err
 	}
+	slog.SetDefault(slog.With("door", config.Name))
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(config.Limits.Cores))))
 	debug.SetMemoryLimit(config.Limits.MemoryMB << 20 / 4 * 3) // the rest is for stacks, sockets and the program
 	moves := make(chan string)
--- a/internal/daemon/file.go
+++ b/internal/daemon/file.go
@@ -75,6 +75,7 @@
 // ends. At each value of hup it reads the file again, by again, and goes by the routes, the identities and the certificates that it names
 // then; nil: it does not. What else the file holds is for the next start.
 func ServeFile(ctx context.Context, f operator.File, again func() (operator.File, error), hup <-chan struct{}) error {
+	slog.SetDefault(slog.With("door", f.Door.Settings.Me))
 	told := make(chan struct{})
 	options, client, err := sources(f, told)
 	if err != nil {
