--- a/cmd/pumicecroft/lab.go
+++ b/cmd/pumicecroft/lab.go
@@ -156,7 +156,8 @@
 	Dir      string `arg:"" help:"Results."`
 	By       string `help:"The factor whose levels stand side by side; the first, if none is given."`
 	Out      string `short:"o" help:"The file to write; report.html or report.md in the directory, if none is given."`
-	Markdown bool   `help:"Markdown, without plots."`
+	Markdown bool   `xor:"form" help:"Markdown, without plots."`
+	Plot     string `xor:"form" placeholder:"FIGURE" help:"One figure over the levels alone, as SVG."`
 }
 
 // Run writes a report.
@@ -172,6 +173,15 @@
 	if c.Markdown {
 		write, name = lab.Markdown, "report.md"
 	}
+	if c.Plot != "" {
+		if lab.FigureOf(c.Plot) == nil {
+			return usageError{fmt.Errorf("%q is none of %s", c.Plot, strings.Join(lab.FigureNames(), ", "))}
+		}
+		name = c.Plot + ".svg"
+		write = func(r *lab.Results, by string, rules paired.Rules) ([]byte, error) {
+			return lab.Plot(r, by, c.Plot, rules)
+		}
+	}
 	text, err := write(r, c.By, c.rules())
 	if err != nil {
 		return err
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -484,3 +484,20 @@
 	plotter.XYs
 	plotter.YErrors
 }
+
+// Plot is one figure over the levels of a factor, a line for each place, as SVG.
+func Plot(r *Results, by, figure string, rules paired.Rules) ([]byte, error) {
+	r.Experiment.Figures = []string{figure}
+	rep, err := gather(r, by, rules)
+	if err != nil {
+		return nil, err
+	}
+	plots, err := rep.overview()
+	if err != nil {
+		return nil, err
+	}
+	if len(plots) == 0 {
+		return nil, fmt.Errorf("%w: a plot wants a factor with two levels", ErrNoLevel)
+	}
+	return []byte(plots[0]), nil
+}
