--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -430,7 +430,7 @@
 			if numbers {
 				x = sizes[i]
 			}
-			ticks = append(ticks, plot.Tick{Value: x, Label: names[i].Name})
+			ticks = append(ticks, plot.Tick{Value: x, Label: wrapped(names[i].Name, 64/len(names))})
 		}
 		for i, p := range r.Parts {
 			var xys errorXYs
@@ -479,6 +479,19 @@
 	return out, nil
 }
 
+// wrapped breaks a label into lines of about so many letters, between words.
+func wrapped(label string, width int) string {
+	var lines []string
+	for _, word := range strings.Fields(label) {
+		if last := len(lines) - 1; last >= 0 && len(lines[last])+1+len(word) <= width {
+			lines[last] += " " + word
+		} else {
+			lines = append(lines, word)
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
 // errorXYs are means with their spreads.
 type errorXYs struct {
 	plotter.XYs
