--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"io"
 	"math"
 	"net"
@@ -57,10 +58,10 @@
 // A known delay is measured as what it is; with a stall in the middle the tail shows it, where a closed loop shows nothing.
 func TestKnownDelay(t *testing.T) {
 	const delay, stall = 30 * time.Millisecond, 400 * time.Millisecond
-	var until atomic.Int64
+	var stalled atomic.Int64
 	addr := target(t, func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(delay)
-		time.Sleep(time.Until(time.Unix(0, until.Load())))
+		time.Sleep(time.Until(time.Unix(0, stalled.Load())))
 	})
 	p := plan(t, "rate = 500\narrivals = \"even\"\nduration = \"1500ms\"\nconnections = 400\n[[request]]\nname = \"look\"\npath = \"/\"\n")
 	r := ask(t, p, addr)
@@ -73,17 +74,17 @@
 	}
 	go func() {
 		time.Sleep(700 * time.Millisecond)
-		until.Store(time.Now().Add(stall).UnixNano())
+		stalled.Store(time.Now().Add(stall).UnixNano())
 	}()
 	open := ask(t, p, addr)
 	// Of 750 requests some 200 came within the stall: their latencies fall evenly from 400 ms.
 	if open.All.P99 < stall*8/10 || open.All.P90 < 100*time.Millisecond {
 		t.Errorf("the stall does not show: %v", open)
 	}
-	until.Store(0)
+	stalled.Store(0)
 	go func() {
 		time.Sleep(700 * time.Millisecond)
-		until.Store(time.Now().Add(stall).UnixNano())
+		stalled.Store(time.Now().Add(stall).UnixNano())
 	}()
 	closed := hdrhistogram.New(1, 10_000_000, 3) // one after another, as a loop does
 	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); {
@@ -100,6 +101,66 @@
 	}
 }
 
+var longFlag = flag.Bool("long", false, "measure a known delay and a stall for a minute, on quiet processors")
+
+// The measurement: a delay of 100 ms for 20 s, then the same with a stall of 1 s in the middle, beside a closed loop.
+//
+//	go test ./internal/load -run TestLong -long -v
+func TestLong(t *testing.T) {
+	if !*longFlag {
+		t.Skip("-long is not given")
+	}
+	const delay = 100 * time.Millisecond
+	var stalled atomic.Int64
+	addr := target(t, func(http.ResponseWriter, *http.Request) {
+		precisely(max(stalled.Load(), time.Now().Add(delay).UnixNano()))
+	})
+	p := plan(t, "rate = 200\nduration = \"20s\"\nconnections = 400\n[[request]]\nname = \"look\"\npath = \"/\"\n")
+	show := func(name string, f *Figures) { t.Logf("%s: p50 %v p99 %v p99.9 %v", name, f.P50, f.P99, f.P999) }
+	r := ask(t, p, addr)
+	show("no stall", &r.All)
+	time.AfterFunc(10*time.Second, func() { stalled.Store(time.Now().Add(time.Second).UnixNano()) })
+	closed := newFigures(10 * time.Second)
+	stop := make(chan bool)
+	var loop sync.WaitGroup
+	loop.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			begun := time.Now()
+			res, err := http.Get("http://" + addr)
+			if err == nil {
+				res.Body.Close()
+			}
+			closed.add(time.Since(begun))
+		}
+	})
+	r = ask(t, p, addr)
+	close(stop)
+	loop.Wait()
+	if err := closed.settle(); err != nil {
+		t.Fatal(err)
+	}
+	show("a stall of 1 s", &r.All)
+	show("closed loop", &closed)
+	t.Logf("lag p99 %v; of the open loop %d over 150 ms of %d, of the closed %d of %d", r.LagP99, over(r.All.h, 150*time.Millisecond), r.All.Count, over(closed.h, 150*time.Millisecond), closed.Count)
+}
+
+// precisely sleeps as closely as the load waits, so that the delay is known.
+func precisely(at int64) { until(context.Background(), time.Unix(0, at)) }
+
+func over(h *hdrhistogram.Histogram, d time.Duration) (n int64) {
+	for _, b := range h.Distribution() {
+		if b.From > d.Microseconds() {
+			n += b.Count
+		}
+	}
+	return n
+}
+
 // A target that stops answering leaves nothing out: each request has its end, the rest with their timeout.
 func TestSilentTarget(t *testing.T) {
 	var n atomic.Int64
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -45,7 +46,7 @@
 		if !ok {
 			break
 		}
-		if !sleep(ctx, time.Until(r.start.Add(s.At))) {
+		if !until(ctx, r.start.Add(s.At)) {
 			res.Partial = true
 			break
 		}
@@ -72,6 +73,21 @@
 	return res, nil
 }
 
+// early is how much too late a timer may come: the system's clocks wake a sleeper a millisecond late.
+const early = 1500 * time.Microsecond
+
+// until waits for a time more closely than timers do: the last of it is spent looking at the clock, which takes a processor where much
+// is asked.
+func until(ctx context.Context, at time.Time) bool {
+	if !sleep(ctx, time.Until(at)-early) {
+		return false
+	}
+	for time.Until(at) > 0 {
+		runtime.Gosched()
+	}
+	return ctx.Err() == nil
+}
+
 // sleep waits, and tells whether ctx goes on.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
