--- a/door.go
+++ b/door.go
@@ -490,7 +490,9 @@
 	case core.Refused:
 		err = &RefusedError{RetryAfter: a.RetryAfter, Why: a.Why}
 	case core.Late:
-		d.lateLog.Do(func() { d.log.Warn("answered at the last moment", "request", hexID(r.ID), "class", r.Class, "timeout", r.Timeout) })
+		d.lateLog.Do(func() {
+			d.log.Warn("answered at the last moment", "request", hexID(r.ID), "class", r.Class, "timeout", r.Timeout)
+		})
 		err = ErrLate
 	case core.Left:
 		err = left(ctx)
