--- a/internal/region/door.go
+++ b/internal/region/door.go
@@ -246,7 +246,7 @@
 		wait = retryAfter
 	}
 	if int(a.try)+1 >= min(most, 127) || seen+wait >= k.begun+class.Deadline {
-		s.tally.unserved(r, k, seen, v)
+		s.tally.unserved(r, k, v)
 		return
 	}
 	s.send(k, a.try+1, seen+wait)
--- a/internal/region/result.go
+++ b/internal/region/result.go
@@ -106,7 +106,7 @@
 	}
 }
 
-func (t *tally) unserved(r *Region, k *call, _ time.Duration, v core.Verdict) {
+func (t *tally) unserved(r *Region, k *call, v core.Verdict) {
 	if !r.counts(k) {
 		return
 	}
