--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -307,3 +308,38 @@
 		}
 	}
 }
+
+// Runs of one cell under different chance, held against each other ten by ten: 94 in 100 comparisons or more can't tell.
+func TestAgainstItself(t *testing.T) {
+	dir := t.TempDir()
+	file, out := filepath.Join(dir, "one.toml"), filepath.Join(dir, "out")
+	text := strings.NewReplacer(`length = "5s"`, `length = "3s"`, "rate = 200", "rate = 150").Replace(fmt.Sprintf(experiment, 60))
+	if err := os.WriteFile(file, []byte(text[:strings.Index(text, "[[factor]]")]), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Run(t.Context(), file, out, RunOptions{Jobs: 4}); err != nil {
+		t.Fatal(err)
+	}
+	r, err := Read(out)
+	if err != nil || len(r.Rows) != 60 {
+		t.Fatal(len(r.Rows), err)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, figure := range []string{"p50_ms", "p99_ms", "attempts", "in_aim"} {
+		told := 0
+		for i := range 100 {
+			order := rng.Perm(60)
+			a, b := make([]float64, 10), make([]float64, 10)
+			for j := range a {
+				a[j], b[j] = r.Rows[order[j]].Figures[figure], r.Rows[order[10+j]].Figures[figure]
+			}
+			if d, err := paired.Compare(a, b, true, paired.Rules{Seed: uint64(i), Resamples: 1000}); err != nil || d.Verdict == paired.Better || d.Verdict == paired.Worse {
+				told++
+			}
+		}
+		t.Logf("%s: %d of 100 told", figure, told)
+		if told > 6 {
+			t.Errorf("%s: of 100 comparisons of the same %d were told", figure, told)
+		}
+	}
+}
