Read again: one picker by shares, traces read once, one way to run a region

The change had pieces twice, state that follows from other state, and work done again. Shares are picked by virtual.Picker in region and load, where each had its own. A trace is parsed once an experiment and not for each cell, an experiment's file is read once a run; directories and files share one reader. Emulate has one loop for one worker and many. A message's way allocates nothing.

--- a/cmd/pumicecroft/lab.go
+++ b/cmd/pumicecroft/lab.go
@@ -43,15 +43,7 @@
 type labRun struct {
 	File string `arg:"" help:"An experiment's file."`
 	Dir  string `short:"d" help:"Where its results are kept; results/ and the file's name, if none is given."`
-	Jobs int    `short:"j" default:"${jobs}" help:"Processors to use."`
-}
-
-// Validate is kong's.
-func (c *labRun) Validate() error {
-	if c.Jobs < 1 {
-		return fmt.Errorf("--jobs %d is below 1", c.Jobs)
-	}
-	return nil
+	Jobs jobs   `short:"j" default:"${jobs}" help:"Processors to use."`
 }
 
 // Run makes what runs are not there yet. Ended early, it keeps what it has, and goes on from there the next time.
@@ -60,7 +52,7 @@
 		c.Dir = filepath.Join("results", strings.TrimSuffix(filepath.Base(c.File), filepath.Ext(c.File)))
 	}
 	begun := time.Now()
-	ran, err := lab.Run(ctx, c.File, c.Dir, lab.RunOptions{Jobs: c.Jobs, Told: func(done, all int, r *lab.Row) {
+	ran, err := lab.Run(ctx, c.File, c.Dir, lab.RunOptions{Jobs: int(c.Jobs), Told: func(done, all int, r *lab.Row) {
 		word := fmt.Sprintf("worth %.4f, %d events", r.Figures["worth"], r.Events)
 		if r.Failed != "" {
 			word = "FAILED: " + r.Failed
@@ -90,8 +82,8 @@
 
 func (j *judging) figures(e *lab.Experiment) ([]string, error) {
 	for _, name := range j.Figure {
-		if lab.FigureOf(name) == nil {
-			return nil, usageError{fmt.Errorf("%q is none of %s", name, strings.Join(lab.FigureNames(), ", "))}
+		if err := isFigure(name); err != nil {
+			return nil, err
 		}
 	}
 	if len(j.Figure) == 0 {
@@ -100,6 +92,13 @@
 	return j.Figure, nil
 }
 
+func isFigure(name string) error {
+	if lab.FigureOf(name) == nil {
+		return usageError{fmt.Errorf("%q is none of %s", name, strings.Join(lab.FigureNames(), ", "))}
+	}
+	return nil
+}
+
 type labCompare struct {
 	judging
 	Dir    string `arg:"" help:"Results."`
@@ -166,7 +165,7 @@
 	if err != nil {
 		return err
 	}
-	if r.Experiment.Figures, err = c.figures(r.Experiment); err != nil {
+	if r.Figures, err = c.figures(r.Experiment); err != nil {
 		return err
 	}
 	write, name := lab.HTML, "report.html"
@@ -174,8 +173,8 @@
 		write, name = lab.Markdown, "report.md"
 	}
 	if c.Plot != "" {
-		if lab.FigureOf(c.Plot) == nil {
-			return usageError{fmt.Errorf("%q is none of %s", c.Plot, strings.Join(lab.FigureNames(), ", "))}
+		if err := isFigure(c.Plot); err != nil {
+			return err
 		}
 		name = c.Plot + ".svg"
 		write = func(r *lab.Results, by string, rules paired.Rules) ([]byte, error) {
--- a/cmd/pumicecroft/lab_paper.go
+++ b/cmd/pumicecroft/lab_paper.go
@@ -3,9 +3,10 @@
 import (
 	"fmt"
 	"io"
-	"sync"
 
 	"pumicecroft/internal/payoff"
+
+	"golang.org/x/sync/errgroup"
 )
 
 type labPaper struct {
@@ -16,16 +17,15 @@
 // Run solves the paper's loads and prints its comparisons beside the paper's own figures, as Markdown.
 func (c *labPaper) Run(out io.Writer) error {
 	do := func(n int, job func(int)) {
-		var running sync.WaitGroup
-		room := make(chan bool, max(1, c.Jobs))
+		var running errgroup.Group
+		running.SetLimit(max(1, c.Jobs))
 		for i := range n {
-			room <- true
-			running.Go(func() {
+			running.Go(func() error {
 				job(i)
-				<-room
+				return nil
 			})
 		}
-		running.Wait()
+		_ = running.Wait() // no job fails here
 	}
 	split := func(s payoff.Split) string { return fmt.Sprintf("%d,%d,%d", s.High, s.Pool, s.Low) }
 	fmt.Fprintln(out, "| load | N | without: split, payoff | paper | with: split, payoff | paper | the paper's split, solved | gain mean, best % | Method I: split, loss % | Method II: split, loss % |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -24,7 +24,6 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	err := run(ctx, os.Args[1:], os.Stdout)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "pumicecroft:", err)
@@ -68,6 +67,17 @@
 	Completion kongcompletion.Completion `cmd:"" help:"Print how a shell is made to complete this program's commands."`
 }
 
+// jobs is how many processors a command uses.
+type jobs int
+
+// Validate is kong's.
+func (j jobs) Validate() error {
+	if j < 1 {
+		return fmt.Errorf("%d is below 1", j)
+	}
+	return nil
+}
+
 // errHelped ends a parser that has printed its help.
 var errHelped = errors.New("helped")
 
--- a/cmd/pumicecroft/sim_mutants.go
+++ b/cmd/pumicecroft/sim_mutants.go
@@ -10,10 +10,10 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+	"golang.org/x/sync/errgroup"
 )
 
 // mutant is a planted bug.
@@ -145,18 +145,10 @@
 	File  string `default:"internal/sim/testdata/mutants.toml" help:"The planted bugs."`
 	Root  string `default:"." help:"The module's folder."`
 	Seeds span   `default:"0..19999" help:"Seeds to run at the most, A..B."`
-	Jobs  int    `default:"4" help:"Bugs at once."`
+	Jobs  jobs   `default:"4" help:"Bugs at once."`
 	Only  string `help:"Those whose names hold this text."`
 }
 
-// Validate is kong's.
-func (c *mutantsCommand) Validate() error {
-	if c.Jobs < 1 {
-		return fmt.Errorf("--jobs %d is below 1", c.Jobs)
-	}
-	return nil
-}
-
 // Run tries all planted bugs and prints a table.
 func (c *mutantsCommand) Run(out io.Writer) error {
 	list, err := readMutants(c.File)
@@ -168,19 +160,18 @@
 		return err
 	}
 	results := make([]verdict, len(list))
-	var running sync.WaitGroup
-	room := make(chan bool, c.Jobs)
+	var running errgroup.Group
+	running.SetLimit(int(c.Jobs))
 	for i, m := range list {
 		if !strings.Contains(m.Name, c.Only) {
 			continue
 		}
-		running.Go(func() {
-			room <- true
-			defer func() { <-room }()
+		running.Go(func() error {
 			results[i] = m.try(root, fmt.Sprintf("%d..%d", c.Seeds.first, c.Seeds.last))
+			return nil
 		})
 	}
-	running.Wait()
+	_ = running.Wait() // what failed is in the verdicts
 	tried, caught := 0, 0
 	fmt.Fprintln(out, "| planted bug | caught by | at seed | seconds |\n| --- | --- | --- | --- |")
 	for _, v := range results {
--- a/cmd/pumicecroft/sim_run.go
+++ b/cmd/pumicecroft/sim_run.go
@@ -32,18 +32,10 @@
 
 type runCommand struct {
 	Seeds span `default:"0..999" help:"Seeds to run, A..B."`
-	Jobs  int  `default:"${jobs}" help:"Runs at once."`
+	Jobs  jobs `default:"${jobs}" help:"Runs at once."`
 	First bool `help:"End at the first seed that breaks a rule."`
 }
 
-// Validate is kong's.
-func (c *runCommand) Validate() error {
-	if c.Jobs < 1 {
-		return fmt.Errorf("--jobs %d is below 1", c.Jobs)
-	}
-	return nil
-}
-
 // Run runs all seeds of the range, and says what broke, by rule, with the first seeds.
 func (c *runCommand) Run(out io.Writer) error {
 	var next, broken atomic.Uint64 // broken: the lowest seed that broke a rule, and one
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -14,20 +14,6 @@
 func Emulate(ctx context.Context, r *region.Region, workers int) error {
 	processors := runtime.GOMAXPROCS(0)
 	workers = max(1, min(workers, r.Shards(), processors))
-	if workers == 1 {
-		for n := 0; r.Next(); n++ {
-			for i := range r.Shards() {
-				r.Step(i)
-			}
-			for i := range r.Shards() {
-				r.Take(i)
-			}
-			if n%1024 == 0 && ctx.Err() != nil {
-				return ctx.Err()
-			}
-		}
-		return ctx.Err()
-	}
 	// Windows are some hundred microseconds of work: who is done spins for the others.
 	var b barrier
 	b.parties = int32(workers)
@@ -38,31 +24,33 @@
 	var steps, takes atomic.Int32 // the next shard's; who is done takes one more, as shards are never equally busy
 	shards := int32(r.Shards())
 	over := false // written by the first worker between two waits, read by all after the second
-	for w := range workers {
-		running.Go(func() {
-			for n := 0; ; n++ {
-				if w == 0 {
-					over = !r.Next() || n%1024 == 0 && ctx.Err() != nil
-					steps.Store(0)
-				}
-				b.wait()
-				if over {
-					return
-				}
-				for i := steps.Add(1) - 1; i < shards; i = steps.Add(1) - 1 {
-					r.Step(int(i))
-				}
-				if w == 0 {
-					takes.Store(0)
-				}
-				b.wait()
-				for i := takes.Add(1) - 1; i < shards; i = takes.Add(1) - 1 {
-					r.Take(int(i))
-				}
-				b.wait()
+	work := func(w int) {
+		for n := 0; ; n++ {
+			if w == 0 {
+				over = !r.Next() || n%1024 == 0 && ctx.Err() != nil
+				steps.Store(0)
+			}
+			b.wait()
+			if over {
+				return
 			}
-		})
+			for i := steps.Add(1) - 1; i < shards; i = steps.Add(1) - 1 {
+				r.Step(int(i))
+			}
+			if w == 0 {
+				takes.Store(0)
+			}
+			b.wait()
+			for i := takes.Add(1) - 1; i < shards; i = takes.Add(1) - 1 {
+				r.Take(int(i))
+			}
+			b.wait()
+		}
+	}
+	for w := 1; w < workers; w++ {
+		running.Go(func() { work(w) })
 	}
+	work(0) // on the caller's goroutine, who may see what it panics with
 	running.Wait()
 	return ctx.Err()
 }
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -52,6 +52,7 @@
 	Cells       []Cell // every combination, the last factor's levels in turn
 	Digest      string // of all but the repetitions: runs of another one are not of this experiment
 
+	text   []byte
 	traces map[string][]byte // by the path that the file names
 }
 
@@ -68,7 +69,7 @@
 		return nil, err
 	}
 	top := d.Top()
-	e := &Experiment{Name: top.Text("name", true), Seed: uint64(top.Whole("seed", 1, 0, math.MaxInt)), Repetitions: top.Whole("repetitions", 10, 1, 100_000)}
+	e := &Experiment{Name: top.Text("name", true), Seed: uint64(top.Whole("seed", 1, 0, math.MaxInt)), Repetitions: top.Whole("repetitions", 10, 1, 100_000), text: text}
 	e.Figures = top.Texts("figures")
 	for _, name := range e.Figures {
 		if FigureOf(name) == nil {
@@ -117,15 +118,19 @@
 	}
 	e.traces = map[string][]byte{}
 	sums := map[string]uint64{}
-	read := func(path string) ([]byte, error) {
-		if text, there := e.traces[path]; there {
-			return text, nil
+	arrivals := map[string][]region.Arrival{}
+	read := func(path string) (out []region.Arrival, err error) {
+		if out, there := arrivals[path]; there {
+			return out, nil
 		}
 		text, err := trace(path)
 		if err == nil {
-			e.traces[path], sums[path] = text, xxhash.Sum64(text)
+			out, err = ReadTrace(text)
 		}
-		return text, err
+		if err == nil {
+			arrivals[path], e.traces[path], sums[path] = out, text, xxhash.Sum64(text)
+		}
+		return out, err
 	}
 	for n := range cells {
 		if err := e.cell(text, n, read); err != nil {
@@ -144,7 +149,7 @@
 }
 
 // cell reads the region of one combination of levels. What a level sets stands where the file has the level.
-func (e *Experiment) cell(text []byte, n int, trace func(path string) ([]byte, error)) error {
+func (e *Experiment) cell(text []byte, n int, trace func(path string) ([]region.Arrival, error)) error {
 	d, err := settings.Parse(text)
 	if err != nil {
 		return err
@@ -210,7 +215,7 @@
 )
 
 // readRegion reads [region].
-func readRegion(d *settings.Document, s *settings.Section, c *region.Config, trace func(path string) ([]byte, error)) {
+func readRegion(d *settings.Document, s *settings.Section, c *region.Config, trace func(path string) ([]region.Arrival, error)) {
 	c.Doors = s.Whole("doors", 10, 1, 4096)
 	c.Policy = region.Policies[s.OneOf("policy", region.PolicyModule, region.Policies...)]
 	c.Length = s.Duration("length", time.Minute, time.Second, day)
@@ -253,11 +258,8 @@
 	if path == "" {
 		return
 	}
-	text, err := trace(path)
-	if err == nil {
-		c.Arrivals.Trace, err = ReadTrace(text)
-	}
-	if err != nil {
+	var err error
+	if c.Arrivals.Trace, err = trace(path); err != nil {
 		d.Bad("region.arrivals", "trace", "%v", err)
 	}
 }
@@ -301,12 +303,14 @@
 }
 
 // ReadFile reads an experiment's file; traces are found beside it.
-func ReadFile(path string) (*Experiment, error) {
+func ReadFile(path string) (*Experiment, error) { return read(path, traceBeside(filepath.Dir(path))) }
+
+func read(path string, trace func(string) ([]byte, error)) (*Experiment, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	e, err := Parse(text, traceBeside(filepath.Dir(path)))
+	e, err := Parse(text, trace)
 	if err != nil {
 		return nil, fmt.Errorf("%s:\n%w", path, err)
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -103,7 +103,7 @@
 	if err != nil || len(r.Rows) != 24 {
 		t.Fatalf("%d rows, %v", len(r.Rows), err)
 	}
-	told, err := Within(r, "service", "", "", r.Figures(), paired.Rules{})
+	told, err := Within(r, "service", "", "", r.Figures, paired.Rules{})
 	if err != nil || len(told) != 6 {
 		t.Fatalf("%+v, %v", told, err)
 	}
@@ -116,10 +116,10 @@
 			t.Errorf("%s against %s in %s: %s, %+v", c.B, c.A, c.Figure.Name, c.Verdict(), c.Told)
 		}
 	}
-	if _, err := Within(r, "service", "x", "", r.Figures(), paired.Rules{}); !errors.Is(err, ErrNoLevel) {
+	if _, err := Within(r, "service", "x", "", r.Figures, paired.Rules{}); !errors.Is(err, ErrNoLevel) {
 		t.Error(err)
 	}
-	if told, err = Across(r, r, "a", "b", r.Figures(), paired.Rules{}); err != nil || len(told) != 9 || told[0].Told.Verdict != paired.Same {
+	if told, err = Across(r, r, "a", "b", r.Figures, paired.Rules{}); err != nil || len(told) != 9 || told[0].Told.Verdict != paired.Same {
 		t.Errorf("%+v, %v", told, err)
 	}
 	page, err := HTML(r, "", paired.Rules{})
@@ -162,7 +162,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d, err := Open(out, e, text)
+	d, err := Open(out, e)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -264,8 +264,8 @@
 	}
 	// Latencies beyond the histogram's range are counted.
 	res := region.Result{Latency: hdrhistogram.New(1, 1000, 3), Beyond: 3}
-	row, err := newRow(&res)
-	if err != nil || row.Beyond != 3 || row.Figures["worth"] != 0 {
+	var row Row
+	if err := row.fill(&res); err != nil || row.Beyond != 3 || row.Figures["worth"] != 0 {
 		t.Errorf("%+v, %v", row, err)
 	}
 }
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -33,11 +33,10 @@
 
 // part is what a report says of the cells that differ in one factor alone.
 type part struct {
-	Where   string
-	Levels  []level
-	Told    []Comparison
-	Plots   []template.HTML
-	Figures []*Figure
+	Where  string
+	Levels []level
+	Told   []Comparison
+	Plots  []template.HTML
 }
 
 // level is one of them.
@@ -73,7 +72,7 @@
 // gather puts a report together; by names the factor whose levels stand side by side, the first if it is empty.
 func gather(r *Results, by string, rules paired.Rules) (*report, error) {
 	out := &report{Experiment: r.Experiment, Rows: len(r.Rows), Torn: r.Torn}
-	for _, name := range r.Figures() {
+	for _, name := range r.Figures {
 		out.Figures = append(out.Figures, FigureOf(name))
 	}
 	i := -1
@@ -96,7 +95,7 @@
 	var told []Comparison
 	if len(levels) > 1 {
 		var err error
-		if told, err = Within(r, by, "", "", r.Figures(), rules); err != nil {
+		if told, err = Within(r, by, "", "", r.Figures, rules); err != nil {
 			return nil, err
 		}
 	}
@@ -113,7 +112,7 @@
 		if slices.ContainsFunc(out.Parts, func(p part) bool { return p.Where == w }) {
 			continue
 		}
-		p := part{Where: w, Figures: out.Figures}
+		p := part{Where: w}
 		for _, name := range levels {
 			l, err := gatherLevel(r, out.Figures, name, func(cell []string) bool { return where(cell, i) == w && (i < 0 || cell[i] == name) })
 			if err != nil {
@@ -131,9 +130,6 @@
 	return out, nil
 }
 
-// Figures are those that are shown first.
-func (r *Results) Figures() []string { return r.Experiment.Figures }
-
 func gatherLevel(r *Results, figures []*Figure, name string, in func(cell []string) bool) (level, error) {
 	l := level{Name: name}
 	values := make([][]float64, len(figures))
@@ -500,7 +496,7 @@
 
 // Plot is one figure over the levels of a factor, a line for each place, as SVG.
 func Plot(r *Results, by, figure string, rules paired.Rules) ([]byte, error) {
-	r.Experiment.Figures = []string{figure}
+	r.Figures = []string{figure}
 	rep, err := gather(r, by, rules)
 	if err != nil {
 		return nil, err
--- a/internal/lab/rows.go
+++ b/internal/lab/rows.go
@@ -34,14 +34,14 @@
 	Events     uint64             `json:"events"`
 }
 
-func newRow(r *region.Result) (Row, error) {
-	row := Row{Figures: map[string]float64{}, Counts: r.Counts, Beyond: r.Beyond, Seconds: r.Seconds, Events: r.Events}
+// fill puts in what the run came to.
+func (r *Row) fill(of *region.Result) (err error) {
+	r.Figures, r.Counts, r.Beyond, r.Seconds, r.Events = map[string]float64{}, of.Counts, of.Beyond, of.Seconds, of.Events
 	for _, f := range Figures {
-		row.Figures[f.Name] = f.of(r)
+		r.Figures[f.Name] = f.of(of)
 	}
-	var err error
-	row.Latency, err = r.Latency.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
-	return row, err
+	r.Latency, err = of.Latency.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	return err
 }
 
 // Histogram gives the latencies.
@@ -70,7 +70,7 @@
 
 // Open opens a directory for a run of an experiment, and makes it if need be. What is there already must be of the same experiment,
 // whose repetitions may differ, and of the same build.
-func Open(path string, e *Experiment, text []byte) (*Dir, error) {
+func Open(path string, e *Experiment) (*Dir, error) {
 	if err := os.MkdirAll(filepath.Join(path, "runs"), 0o755); err != nil {
 		return nil, err
 	}
@@ -80,30 +80,34 @@
 	} else if !got {
 		return nil, fmt.Errorf("%s: %w", path, ErrBusy)
 	}
-	old, err := os.ReadFile(filepath.Join(path, experimentFile))
-	if err == nil {
-		was, err := Parse(old, tracesIn(path))
-		if err != nil {
-			d.Close()
-			return nil, fmt.Errorf("%s:\n%w", filepath.Join(path, experimentFile), err)
-		}
-		if was.Digest != e.Digest {
-			d.Close()
-			return nil, fmt.Errorf("%s: %w: %q", path, ErrOther, was.Name)
-		}
-	} else if !errors.Is(err, os.ErrNotExist) {
+	if err := d.belongTo(e); err != nil {
 		d.Close()
 		return nil, err
 	}
-	err = nil
-	for name, text := range e.traces {
-		err = errors.Join(err, writeWhole(traceIn(path, name), text))
+	return d, nil
+}
+
+// belongTo keeps an experiment with the results, unless they are of another one.
+func (d *Dir) belongTo(e *Experiment) error {
+	was, err := readExperiment(d.path)
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+	case err != nil:
+		return err
+	case was.Digest != e.Digest:
+		return fmt.Errorf("%s: %w: %q", d.path, ErrOther, was.Name)
 	}
-	if err = errors.Join(err, writeWhole(filepath.Join(path, experimentFile), text)); err != nil {
-		d.Close()
-		return nil, err
+	for name, text := range e.traces {
+		if err := writeWhole(traceIn(d.path, name), text); err != nil {
+			return err
+		}
 	}
-	return d, nil
+	return writeWhole(filepath.Join(d.path, experimentFile), e.text)
+}
+
+// readExperiment reads the experiment that a directory's results are of.
+func readExperiment(dir string) (*Experiment, error) {
+	return read(filepath.Join(dir, experimentFile), tracesIn(dir))
 }
 
 // traceBeside reads traces by paths that are from a directory.
@@ -187,14 +191,10 @@
 
 // Read reads a directory. A result that is damaged is told in Torn and is not among the rows.
 func Read(path string) (*Results, error) {
-	text, err := os.ReadFile(filepath.Join(path, experimentFile))
+	e, err := readExperiment(path)
 	if err != nil {
 		return nil, err
 	}
-	e, err := Parse(text, tracesIn(path))
-	if err != nil {
-		return nil, fmt.Errorf("%s:\n%w", filepath.Join(path, experimentFile), err)
-	}
 	out := &Results{Experiment: e}
 	files, err := filepath.Glob(filepath.Join(path, "runs", "*"+suffix))
 	if err != nil {
--- a/internal/lab/runs.go
+++ b/internal/lab/runs.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 	"runtime/debug"
 	"sync"
 
@@ -29,10 +28,6 @@
 // Run makes all runs of the experiment in a file that its directory lacks. When ctx ends, what is done is kept, and a later Run goes on
 // from there. A run that fails is kept with its reason, and made again by the next Run.
 func Run(ctx context.Context, file, dir string, o RunOptions) (Ran, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return Ran{}, err
-	}
 	e, err := ReadFile(file)
 	if err != nil {
 		return Ran{}, err
@@ -41,7 +36,7 @@
 	if err != nil {
 		return Ran{}, err
 	}
-	d, err := Open(dir, e, text)
+	d, err := Open(dir, e)
 	if err != nil {
 		return Ran{}, err
 	}
@@ -61,8 +56,11 @@
 		there[r.name()] = true
 	}
 	ran := Ran{All: len(e.Cells) * e.Repetitions, Torn: had.Torn}
-	var todo []Row
-	cells := map[string]region.Config{}
+	type job struct {
+		row    Row
+		config region.Config
+	}
+	var todo []job
 	for rep := range e.Repetitions { // by repetition: what is done when it is ended early can be compared
 		for _, c := range e.Cells {
 			r := Row{Experiment: e.Digest, Build: build, Cell: c.Levels, Repetition: rep, Seed: e.SeedOf(rep)}
@@ -70,8 +68,7 @@
 				ran.Before++
 				continue
 			}
-			todo = append(todo, r)
-			cells[r.name()] = c.Config
+			todo = append(todo, job{r, c.Config})
 		}
 	}
 	defer debug.SetGCPercent(debug.SetGCPercent(400)) // runs let go of all that they made
@@ -89,11 +86,11 @@
 					mu.Unlock()
 					return
 				}
-				row := todo[next]
+				do := todo[next]
 				next++
 				mu.Unlock()
-				key := row.name()
-				err := runOne(ctx, cells[key], &row, workers)
+				row := do.row
+				err := runOne(ctx, do.config, &row, workers)
 				if ctx.Err() != nil { // it was cut short
 					return
 				}
@@ -142,11 +139,5 @@
 		return err
 	}
 	result := r.Result()
-	got, err := newRow(&result)
-	if err != nil {
-		return err
-	}
-	got.Experiment, got.Build, got.Cell, got.Repetition, got.Seed = row.Experiment, row.Build, row.Cell, row.Repetition, row.Seed
-	*row = got
-	return nil
+	return row.fill(&result)
 }
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -84,6 +84,8 @@
 	times  *rand.Rand
 	shots  *rand.Rand
 	zipf   *rand.Zipf
+	plans  virtual.Picker
+	kinds  virtual.Picker
 	at     time.Duration
 	number uint64
 	recent [][]uint64 // keys, by kind
@@ -92,6 +94,14 @@
 // NewDrawer begins to draw.
 func NewDrawer(p *Plan) *Drawer {
 	d := &Drawer{p: p, times: virtual.Chance(p.Seed, forTimes), shots: virtual.Chance(p.Seed, forShot), recent: make([][]uint64, len(p.Kinds))}
+	var plans, kinds []float64
+	for _, v := range p.Plans {
+		plans = append(plans, v.Part)
+	}
+	for _, k := range p.Kinds {
+		kinds = append(kinds, k.Part)
+	}
+	d.plans, d.kinds = virtual.NewPicker(plans...), virtual.NewPicker(kinds...)
 	if p.Zipf > 0 && p.Customers > 1 {
 		d.zipf = rand.NewZipf(d.shots, p.Zipf, 1, uint64(p.Customers-1))
 	}
@@ -110,8 +120,8 @@
 		return Shot{}, false
 	}
 	d.number++
-	s := Shot{At: d.at, Number: d.number, Plan: p.Plans[pick(d.shots, len(p.Plans), func(i int) float64 { return p.Plans[i].Part })].Name,
-		Kind: pick(d.shots, len(p.Kinds), func(i int) float64 { return p.Kinds[i].Part }), Follows: d.shots.Float64() < p.Follow}
+	s := Shot{At: d.at, Number: d.number, Plan: p.Plans[d.plans.At(d.shots.Float64())].Name,
+		Kind: d.kinds.At(d.shots.Float64()), Follows: d.shots.Float64() < p.Follow}
 	if d.zipf != nil {
 		s.Customer = int(d.zipf.Uint64())
 	} else {
@@ -130,20 +140,6 @@
 	return s, true
 }
 
-func pick(r *rand.Rand, n int, part func(int) float64) int {
-	sum := 0.0
-	for i := range n {
-		sum += part(i)
-	}
-	at := r.Float64() * sum
-	for i := range n {
-		if at -= part(i); at < 0 {
-			return i
-		}
-	}
-	return n - 1
-}
-
 // fill puts a shot's values into a text.
 func fill(text string, s *Shot, try int, timeout time.Duration) string {
 	if !strings.Contains(text, "{") {
--- a/internal/region/backend.go
+++ b/internal/region/backend.go
@@ -20,8 +20,7 @@
 	draining   bool
 	drainedAt  time.Duration
 	born       time.Duration // of its process; before the region's start if it is warm from the first
-	busy       int
-	jobs       []message // it works at
+	jobs       []message     // it works at
 	queue      []message
 	recent     []time.Duration // arrivals while it is cold
 	warm       bool            // for good
@@ -91,7 +90,7 @@
 		return
 	}
 	switch {
-	case b.busy < b.r.c.Backends.Slots:
+	case len(b.jobs) < b.r.c.Backends.Slots:
 		b.work(m, w)
 	case len(b.queue) < b.r.c.Backends.Queue:
 		b.queue = append(b.queue, *m)
@@ -117,11 +116,10 @@
 // work begins a request. It takes as long as its call's chance has it, whoever sent it when.
 func (b *backend) work(m *message, warmth float64) {
 	s, r := b.shard, b.r
-	b.busy++
 	u := virtual.Unit(r.seed, forService, m.call.number, uint64(m.try&127), uint64(m.attempt))
 	took := time.Duration(float64(r.service.at(u)) * r.slowed(b.zone, s.now) / warmth)
 	b.jobs = append(b.jobs, *m)
-	s.later(s.now+took, message{what: done, backend: b.number, slot: b.epoch, try: m.try, attempt: m.attempt})
+	s.later(s.now+took, message{what: done, backend: b.number, epoch: b.epoch, try: m.try, attempt: m.attempt})
 	if r.c.Settings.Classes[m.call.class].Effect != decision.Safe {
 		d := r.doors[m.door]
 		s.post(d.shard, s.now+r.way(m.try, uint64(m.attempt), 4), message{what: ran, door: m.door, backend: b.number, try: m.try, attempt: m.attempt, at: s.now, call: m.call})
@@ -130,14 +128,13 @@
 
 // done ends a request, and begins the next.
 func (b *backend) done(m *message) {
-	if m.slot != b.epoch {
+	if m.epoch != b.epoch {
 		return
 	}
 	i := slices.IndexFunc(b.jobs, func(j message) bool { return j.try == m.try && j.attempt == m.attempt })
 	b.answer(&b.jobs[i], decision.Answered, b.shard.now)
 	b.jobs[i] = b.jobs[len(b.jobs)-1]
 	b.jobs = b.jobs[:len(b.jobs)-1]
-	b.busy--
 	if len(b.queue) > 0 {
 		next := b.queue[0]
 		b.queue = b.queue[1:]
@@ -173,7 +170,7 @@
 	for _, j := range slices.Concat(b.jobs, b.queue) {
 		b.answer(&j, decision.Broken, b.shard.now)
 	}
-	b.up, b.busy, b.jobs, b.queue, b.recent = false, 0, nil, nil, nil
+	b.up, b.jobs, b.queue, b.recent = false, nil, nil, nil
 	b.epoch++
 	b.changed()
 }
--- a/internal/region/door.go
+++ b/internal/region/door.go
@@ -89,7 +89,7 @@
 	for _, id := range slices.Sorted(maps.Keys(d.open)) {
 		a := d.open[id]
 		for i, b := range a.at {
-			d.tellOff(a, id, i, b)
+			d.tellOff(id, i, b)
 		}
 		d.next(a, core.Aborted, 0)
 	}
@@ -184,12 +184,12 @@
 		if o.timedOut {
 			out.Result = decision.TimedOut
 		}
-		d.tellOff(o.a, o.id, o.attempt, o.a.at[o.attempt])
+		d.tellOff(o.id, o.attempt, o.a.at[o.attempt])
 		effects = d.core.Ended(d.now(), o.id, o.attempt, out)
 	}
 	if at, ok := d.core.Next(); ok && (d.woken == 0 || at-origin < d.woken) {
 		d.woken = max(at-origin, d.shard.now+1)
-		if d.woken <= d.r.length+d.r.rest() {
+		if d.woken <= d.r.c.Length+d.r.rest() {
 			d.shard.later(d.woken, message{what: wake, door: d.number, at: d.woken})
 		}
 	}
@@ -213,7 +213,7 @@
 }
 
 // tellOff tells a backend that nobody waits any more.
-func (d *door) tellOff(a *asked, id decision.RequestID, n int, backend int32) {
+func (d *door) tellOff(id decision.RequestID, n int, backend int32) {
 	if backend < 0 {
 		return
 	}
--- a/internal/region/draw.go
+++ b/internal/region/draw.go
@@ -16,11 +16,11 @@
 const (
 	forArrivals uint64 = iota + 1
 	forBursts
-	forCustomer
+	_ // numbers stay, so that seeds stay what they are
 	forService
 	forNetwork
 	forClient
-	forCounter
+	_
 	forPolicy
 	forPlan
 )
@@ -61,28 +61,13 @@
 	return max(1, time.Duration(x*float64(s.of.Mean)))
 }
 
-// picker picks by shares.
-type picker struct{ sums []float64 }
-
-func newPicker(shares []Share) picker {
-	p, sum := picker{}, 0.0
-	for _, s := range shares {
-		sum += s.Part
-		p.sums = append(p.sums, sum)
-	}
-	for i := range p.sums {
-		p.sums[i] /= sum
-	}
-	return p
-}
-
-func (p *picker) at(u float64) int {
-	for i, s := range p.sums {
-		if u < s {
-			return i
-		}
+// pickerOf picks among shares.
+func pickerOf(shares []Share) virtual.Picker {
+	parts := make([]float64, len(shares))
+	for i, s := range shares {
+		parts[i] = s.Part
 	}
-	return len(p.sums) - 1
+	return virtual.NewPicker(parts...)
 }
 
 // swing is how the rate of arrivals moves: the same for all streams.
@@ -140,7 +125,7 @@
 	rate   float64 // a second, at the highest
 	rng    *rand.Rand
 	zipf   *rand.Zipf
-	mix    picker
+	mix    virtual.Picker
 	turn   int
 	at     time.Duration
 	count  uint64
@@ -151,7 +136,7 @@
 // newStream is one of some streams; flood is the number of a fault, or -1.
 func newStream(c *Config, s *swing, seed uint64, number, of, flood int) *stream {
 	st := &stream{c: c, swing: s, number: number + (flood+1)*of, rng: virtual.Chance(seed, forArrivals, uint64(number), uint64(flood+1)),
-		mix: newPicker(c.Clients.Mix), trace: number, step: of}
+		mix: pickerOf(c.Clients.Mix), trace: number, step: of}
 	if flood >= 0 {
 		st.flood = &c.Faults[flood]
 		st.at, st.rate = st.flood.At, c.Arrivals.Rate*st.flood.Share/float64(of)
@@ -199,6 +184,6 @@
 	default:
 		k.customer = int32(s.zipf.Uint64())
 	}
-	k.class = s.c.classOf[s.mix.at(s.rng.Float64())]
+	k.class = s.c.classOf[s.mix.At(s.rng.Float64())]
 	return k, s.at < end
 }
--- a/internal/region/fault.go
+++ b/internal/region/fault.go
@@ -111,7 +111,7 @@
 			s.post(d.shard, s.now+r.way(uint64(d.number), uint64(s.now), 6), message{what: news, door: d.number, list: &list})
 		}
 	}
-	if s.now < r.length+r.rest() {
+	if s.now < r.c.Length+r.rest() {
 		s.later(s.now+r.c.Lists, message{what: publish})
 	}
 }
--- a/internal/region/policy.go
+++ b/internal/region/policy.go
@@ -27,7 +27,7 @@
 
 // newPolicy makes what decides at one door.
 func newPolicy(c *Config, set decision.Settings, seed uint64, now time.Duration) (core.Decider, error) {
-	p := &plain{set: set, rng: virtual.Chance(seed, forPolicy), open: map[decision.RequestID]*asking{}, deadlines: map[string]time.Duration{}}
+	p := &plain{set: set, rng: virtual.Chance(seed, forPolicy), out: map[decision.BackendID]int{}, open: map[decision.RequestID]*asking{}, deadlines: map[string]time.Duration{}}
 	for _, k := range set.Classes {
 		p.deadlines[k.Name] = k.Deadline
 	}
@@ -35,18 +35,18 @@
 	case PolicyModule:
 		return decision.New(set, seed, now)
 	case PolicyRound:
-		p.pick, p.again = p.next, func(*asking, decision.Result) bool { return false }
+		p.inTurn()
 	case PolicyTwo:
 		p.pick = p.lessOfTwo
 		p.again = func(a *asking, r decision.Result) bool {
-			return a.tries < set.MaxAttempts && (r == decision.Refused || r == decision.NoConnection || r == decision.NotSent)
+			return a.tries < set.MaxAttempts && unrun(r)
 		}
 	case PolicyBlind:
 		p.pick = func() int { return p.rng.IntN(len(p.ready)) }
 		p.again = func(a *asking, r decision.Result) bool { return a.tries <= 3 }
 		p.parts = 4
 	case PolicyLimit:
-		p.pick, p.again = p.next, func(*asking, decision.Result) bool { return false }
+		p.inTurn()
 		p.rate = c.Ceiling / float64(c.Doors)
 		p.tokens, p.at = max(1, p.rate), now
 	default:
@@ -112,7 +112,7 @@
 			return p.send(ev.Request, a, actions)
 		default:
 			delete(p.open, ev.Request)
-			if ev.Result == decision.Refused || ev.Result == decision.NoConnection || ev.Result == decision.NotSent {
+			if unrun(ev.Result) {
 				return append(actions, decision.Refuse{Request: ev.Request, Why: decision.Untaken})
 			}
 			return append(actions, decision.Fail{Request: ev.Request})
@@ -147,19 +147,23 @@
 }
 
 func (p *plain) count(b decision.BackendID, by int) {
-	if p.out == nil {
-		p.out = map[decision.BackendID]int{}
-	}
 	if p.out[b] += by; p.out[b] == 0 {
 		delete(p.out, b)
 	}
 }
 
-// next is the one after the last; each door begins somewhere else.
+// inTurn has each request go once, to the backend after the last one's; each door begins somewhere else.
+func (p *plain) inTurn() {
+	p.turn = 1 + p.rng.IntN(1<<30)
+	p.pick, p.again = p.next, func(*asking, decision.Result) bool { return false }
+}
+
+// unrun tells whether a result proves that the attempt never ran.
+func unrun(r decision.Result) bool {
+	return r == decision.Refused || r == decision.NoConnection || r == decision.NotSent
+}
+
 func (p *plain) next() int {
-	if p.turn == 0 {
-		p.turn = 1 + p.rng.IntN(1<<30)
-	}
 	p.turn++
 	return p.turn % len(p.ready)
 }
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -47,7 +47,7 @@
 	number  uint8 // of a try
 	door    int32
 	backend int32
-	slot    int32 // of an attempt at its backend; an epoch
+	epoch   int32 // of the backend's process
 	try     uint64
 	attempt int32
 	at      time.Duration // of what it tells
@@ -87,7 +87,6 @@
 	planOf    []uint8 // by customer; nil: all have the first
 	service   sampler
 	swing     swing
-	length    time.Duration
 	window    time.Duration // its end
 	period    int64         // of the meter
 	use       []float32     // by customer, units in the last period that the meter has summed
@@ -108,7 +107,7 @@
 		return nil, err
 	}
 	c.index()
-	r := &Region{c: c, seed: seed, service: newSampler(c.Backends.Service), swing: newSwing(&c, seed), length: c.Length}
+	r := &Region{c: c, seed: seed, service: newSampler(c.Backends.Service), swing: newSwing(&c, seed)}
 	// Some hundred events or more to a window and shard are worth the waiting for each other.
 	n := max(1, min(16, c.Doors, int(c.Arrivals.Rate*6*c.Network.Least.Seconds()/2), c.Backends.Count))
 	if len(c.Arrivals.Trace) > 0 {
@@ -131,10 +130,10 @@
 	}
 	r.meanWorth /= parts
 	if len(c.Clients.Plans) > 1 {
-		pick := newPicker(c.Clients.Plans)
+		pick := pickerOf(c.Clients.Plans)
 		r.planOf = make([]uint8, c.Clients.Customers)
 		for i := range r.planOf {
-			r.planOf[i] = c.planOf[pick.at(virtual.Unit(seed, forPlan, uint64(i)))]
+			r.planOf[i] = c.planOf[pick.At(virtual.Unit(seed, forPlan, uint64(i)))]
 		}
 	}
 	for i := range c.Backends.Count {
@@ -175,7 +174,7 @@
 			first, any = at, true
 		}
 	}
-	if !any || first >= r.length+r.rest() {
+	if !any || first >= r.c.Length+r.rest() {
 		return false
 	}
 	for p := int64(first / meterPeriod); r.period < p; { // what nothing happened in passes as well
@@ -240,7 +239,8 @@
 	if n.More == 0 {
 		return n.Least
 	}
-	u := virtual.Unit(r.seed, append(of, forNetwork)...)
+	var all [4]uint64 // room for them on the stack: this is for every message
+	u := virtual.Unit(r.seed, append(append(all[:0], of...), forNetwork)...)
 	return n.Least + time.Duration(-math.Log1p(-u)*float64(n.More))
 }
 
--- a/internal/region/result.go
+++ b/internal/region/result.go
@@ -42,7 +42,6 @@
 // tally is what a shard counts.
 type tally struct {
 	Counts
-	c       *Config
 	latency *hdrhistogram.Histogram
 	beyond  int
 	seconds []Second
@@ -54,7 +53,6 @@
 const longest = 10 * time.Minute
 
 func (t *tally) begin(c *Config) {
-	t.c = c
 	t.latency = hdrhistogram.New(1, longest.Microseconds(), 3)
 	t.seconds = make([]Second, int((c.Length+time.Second-1)/time.Second))
 	t.asked, t.got = make([]uint16, c.Clients.Customers), make([]uint16, c.Clients.Customers)
@@ -63,6 +61,11 @@
 // counts tells whether a call is counted.
 func (r *Region) counts(k *call) bool { return k.begun >= r.c.Warmup }
 
+// worth is what a call earns within its aim.
+func (r *Region) worth(k *call) float64 {
+	return r.c.Settings.Classes[k.class].Worth * r.plan(k.customer).Price * float64(k.units)
+}
+
 func (t *tally) second(k *call) *Second { return &t.seconds[int(k.begun/time.Second)] }
 
 func plus(v []uint16, i int32) {
@@ -75,7 +78,7 @@
 	if !r.counts(k) {
 		return
 	}
-	worth := t.c.Settings.Classes[k.class].Worth * r.plan(k.customer).Price * float64(k.units)
+	worth := r.worth(k)
 	t.Offered++
 	t.WorthOffered += worth
 	s := t.second(k)
@@ -88,8 +91,8 @@
 	if !r.counts(k) {
 		return
 	}
-	class := &t.c.Settings.Classes[k.class]
-	worth := class.Worth * r.plan(k.customer).Price * float64(k.units)
+	class := &r.c.Settings.Classes[k.class]
+	worth := r.worth(k)
 	if seen-k.begun <= class.Aim {
 		t.InAim++
 	} else {
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -78,6 +78,32 @@
 	return first.at, first.value
 }
 
+// Picker picks by shares.
+type Picker struct{ sums []float64 }
+
+// NewPicker makes one of parts of 0 or more, one of them above 0.
+func NewPicker(parts ...float64) Picker {
+	p, sum := Picker{make([]float64, len(parts))}, 0.0
+	for i, part := range parts {
+		sum += part
+		p.sums[i] = sum
+	}
+	for i := range p.sums {
+		p.sums[i] /= sum
+	}
+	return p
+}
+
+// At is the number of the part that a number from 0 to below 1 falls into.
+func (p *Picker) At(u float64) int {
+	for i, s := range p.sums {
+		if u < s {
+			return i
+		}
+	}
+	return len(p.sums) - 1
+}
+
 // Mix is the finish of splitmix64: a bijection, so that different numbers stay so.
 func Mix(z uint64) uint64 {
 	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
