The decision module in files by concern, word for word

Need: gateway.go held a thousand lines of reserves, quota, ceiling, choice and attempts; what a door may believe after a pause or a start has to be found in one of them.

--- a/decision/api.go
+++ b/decision/api.go
@@ -5,7 +5,8 @@
 // Handle; it carries out the returned actions at once and in order. The package has no clock, does no I/O,
 // holds no locks and keeps no package state: two gateways given the same seed and events act alike. A
 // Gateway is not safe for concurrent use. All times are durations on one clock that only moves forward and
-// whose origin does not matter. The decisions are in gateway.go, counter.go, health.go and advice.go.
+// whose origin does not matter. gateway.go begins the decisions, and tells in which file each
+// concern is.
 package decision
 
 import (
--- a/internal/payoff/payoff.go
+++ b/internal/payoff/payoff.go
@@ -1,6 +1,6 @@
 // Package payoff solves the paper's model of admission by three parts of N slots (high, pool, low), with and without sub-rating, exactly, and by
 // its two approximations: Cheng, Chen and Chen, Dynamic quota-based admission control with sub-rating in multimedia servers, Sects. 3 to
-// 5. The decision module re-splits by Method II (decision/gateway.go, payoff, with q = v); here its choices are held against exhaustive search. It is pure.
+// 5. The decision module re-splits by Method II (decision/reserves.go, payoff, with q = v); here its choices are held against exhaustive search. It is pure.
 //
 // The chain's states are (H, L, SH, SL, D): clients in the high and low parts, and in the pool high, low, and degraded low ones. The
 // paper's Petri net has alpha tokens a slot; as degraded clients are resumed at once where tokens are free, D is above 0 only in a full pool,
