--- a/config.go
+++ b/config.go
@@ -132,6 +132,18 @@
 	Run(ctx context.Context, update func(membership.List))
 }
 
+// Catcher is a Source that can tell when it has reported all that had arrived when it was asked. After the process stood still (it was
+// stopped, or its machine was), the Door asks each of them and sends nothing before they have answered, for half a second at the most: what
+// a source was told meanwhile waits unread, and a backend that drains by it must not be sent to. Of a source that is none, what is decided
+// first after a standstill may rest on what it said before.
+type Catcher interface {
+	Source
+	// CatchUp returns when all that had arrived is reported, or ctx ends, or the error tells why nothing can be heard; one that could not
+	// be heard since before the time since, when the process was last seen to go on, need not be waited for. It may be called by several
+	// goroutines at once, and before Run.
+	CatchUp(ctx context.Context, since time.Time) error
+}
+
 // Mapper turns a host's request into a Request, without its body, which the Door reads. An error is answered as a
 // bad request, unless it is one of this package's that says otherwise.
 type Mapper func(*http.Request) (Request, error)
--- a/conformance/conformance.go
+++ b/conformance/conformance.go
@@ -787,7 +787,9 @@
 		asking.Go(func() {
 			for n := range 20 {
 				a := r.ask([]string{"look", "pay", "once"}[(i+n)%3])
-				a.Timeout = 1500 * time.Millisecond
+				// The client waits for its answer for longer than it says: it must come, and on a busy machine it is late by how late
+				// this goroutine is run.
+				a.Timeout, a.Patience = 1500*time.Millisecond, patience
 				reply := r.do(a)
 				if reply.Status == 0 {
 					t.Errorf("lost after %v: %v", reply.Took, reply.Err)
--- a/conformance/consul_test.go
+++ b/conformance/consul_test.go
@@ -35,7 +35,7 @@
 	go func() {
 		defer close(ended)
 		told := false
-		platform.Discovery{Addr: addr, From: platform.FromTheStart}.Follow(ctx, func(l platform.EndpointList) {
+		(&platform.Discovery{Addr: addr, From: platform.FromTheStart}).Follow(ctx, func(l platform.EndpointList) {
 			for _, e := range l.Hosts {
 				if e.Health == "Gone" {
 					agent.Remove("rack", e.Host)
--- a/conformance/fronts_test.go
+++ b/conformance/fronts_test.go
@@ -171,7 +171,7 @@
 			change(t, &dc)
 		}
 		door, err := pumicecroft.New(dc,
-			pumicecroft.WithSource(platform.Discovery{Addr: c.Discovery, From: c.Known.Seq}))
+			pumicecroft.WithSource(&platform.Discovery{Addr: c.Discovery, From: c.Known.Seq}))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/conformance/grpc_test.go
+++ b/conformance/grpc_test.go
@@ -29,7 +29,7 @@
 	dc := daemon.DoorConfig(c)
 	dc.Protocol = membership.ProtocolGRPC
 	door, err := pumicecroft.New(dc, grpcfront.WithBackends(grpcfront.BackendConfig{}),
-		pumicecroft.WithSource(platform.Discovery{Addr: c.Discovery, From: c.Known.Seq}))
+		pumicecroft.WithSource(&platform.Discovery{Addr: c.Discovery, From: c.Known.Seq}))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/conformance/web_test.go
+++ b/conformance/web_test.go
@@ -95,7 +95,7 @@
 
 // follow has a door's list follow discovery, with what its backends speak.
 func follow(t testing.TB, door *pumicecroft.Door, c platform.Config, protocol string) {
-	d := platform.Discovery{Addr: c.Discovery, From: c.Known.Seq}
+	d := &platform.Discovery{Addr: c.Discovery, From: c.Known.Seq}
 	go d.Run(t.Context(), func(l membership.List) {
 		for i := range l.Nodes {
 			l.Nodes[i].Protocol = protocol
--- a/consul/consul.go
+++ b/consul/consul.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -184,10 +185,94 @@
 type Watch struct {
 	client  *Client
 	service Service
+
+	mu    sync.Mutex
+	loops []*fresh // that run
 }
 
 // Service makes a source of a service.
-func (c *Client) Service(s Service) *Watch { return &Watch{c, s} }
+func (c *Client) Service(s Service) *Watch { return &Watch{client: c, service: s} }
+
+// fresh is what a loop is asked for by CatchUp: an answer to a question that is asked after it.
+type fresh struct {
+	mu     sync.Mutex
+	wanted []chan error       // each takes the answer's end
+	cut    context.CancelFunc // ends the question that is out; nil: none is
+	hurry  chan struct{}      // holds one: a question is wanted at once
+	failed time.Time          // since when its questions fail; zero: they do not
+}
+
+// CatchUp asks anew for all that the service's questions have answers to, and returns when these have been taken in. What failed since
+// before a time is not waited for.
+func (w *Watch) CatchUp(ctx context.Context, since time.Time) error {
+	w.mu.Lock()
+	loops := slices.Clone(w.loops)
+	w.mu.Unlock()
+	var ends []chan error
+	for _, l := range loops {
+		l.mu.Lock()
+		if l.failed.IsZero() || !l.failed.Before(since) {
+			end := make(chan error, 1)
+			l.wanted, ends = append(l.wanted, end), append(ends, end)
+			select {
+			case l.hurry <- struct{}{}:
+			default:
+			}
+			if l.cut != nil {
+				l.cut()
+			}
+		}
+		l.mu.Unlock()
+	}
+	if len(ends) == 0 {
+		return errSilent
+	}
+	var errs error
+	for _, end := range ends {
+		select {
+		case err := <-end:
+			errs = errors.Join(errs, err)
+		case <-ctx.Done():
+			return errSilent
+		}
+	}
+	return errs
+}
+
+// begin begins a question and gives what has been asked for by then; more is asked for with the next one.
+func (f *fresh) begin(cut context.CancelFunc) (wanted []chan error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wanted, f.wanted, f.cut = f.wanted, nil, cut
+	select {
+	case <-f.hurry: // by this one
+	default:
+	}
+	return wanted
+}
+
+// end ends a question, that was cut for the next one or had an end.
+func (f *fresh) end(wanted []chan error, err error, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = nil
+	switch {
+	case cut: // the next one is for these too
+		f.wanted = append(wanted, f.wanted...)
+		select {
+		case f.hurry <- struct{}{}:
+		default:
+		}
+		return
+	case err == nil:
+		f.failed = time.Time{}
+	case f.failed.IsZero():
+		f.failed = time.Now()
+	}
+	for _, w := range wanted {
+		w <- err
+	}
+}
 
 // Origin is what the source is called: two watches of one service are the same source.
 func (w *Watch) Origin() membership.Origin {
@@ -270,16 +355,32 @@
 	loop := blocking.New(blocking.Rules{Wait: c.Wait, MaxStale: c.MaxStale, RetryMost: c.RetryMost}, c.Seed+number)
 	pause := time.NewTimer(0)
 	defer pause.Stop()
+	f := &fresh{hurry: make(chan struct{}, 1)}
+	w.mu.Lock()
+	w.loops = append(w.loops, f)
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.loops = slices.DeleteFunc(w.loops, func(l *fresh) bool { return l == f })
+	}()
 	for {
 		q := loop.Next()
 		pause.Reset(max(0, q.At-time.Since(start)))
 		select {
 		case <-pause.C:
+		case <-f.hurry:
 		case <-ctx.Done():
 			return
 		}
+		whole, cut := context.WithCancelCause(ctx)
+		wanted := f.begin(func() { cut(errCut) })
+		if len(wanted) > 0 {
+			loop.Refresh(time.Since(start))
+			q = loop.Next()
+		}
 		loop.Asked(time.Since(start))
-		asking, cancel := context.WithTimeoutCause(ctx, q.Patience, errSilent)
+		asking, cancel := context.WithTimeoutCause(whole, q.Patience, errSilent)
 		o, err := w.client.options(asking)
 		var answer blocking.Answer
 		var then func(blocking.Verdict)
@@ -290,20 +391,30 @@
 		if cause := context.Cause(asking); err != nil && cause != nil {
 			err = cause
 		}
+		cut(nil)
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errCut) {
+			f.end(wanted, nil, true)
+			continue
+		}
 		if err != nil {
 			loop.Failed(time.Since(start))
 			failed(fmt.Errorf("consul: %s: %w", w.service.Name, err))
+			f.end(wanted, err, false)
 			continue
 		}
 		then(loop.Answered(time.Since(start), answer))
+		f.end(wanted, nil, false)
 	}
 }
 
-var errSilent = errors.New("no answer in time")
+var (
+	errSilent = errors.New("no answer in time")
+	errCut    = errors.New("it is asked anew")
+)
 
 func head(m *api.QueryMeta, size int) blocking.Answer {
 	return blocking.Answer{Index: m.LastIndex, KnownLeader: m.KnownLeader, LastContact: m.LastContact,
--- a/decision/api.go
+++ b/decision/api.go
@@ -244,6 +244,9 @@
 	Total  float64
 }
 
+// Stood tells that this process may have stood still until now, for so long: what was out meanwhile is not late by its backend's fault.
+type Stood struct{ For time.Duration }
+
 // Timer tells that a SetTimer has come due.
 type Timer struct{ Token uint64 }
 
@@ -254,6 +257,7 @@
 func (ClientGone) isEvent()    {}
 func (ProbeResult) isEvent()   {}
 func (Counted) isEvent()       {}
+func (Stood) isEvent()         {}
 func (Timer) isEvent()         {}
 
 // Action is something that the front door must do, at once and in order.
--- a/decision/gateway.go
+++ b/decision/gateway.go
@@ -85,6 +85,7 @@
 	b      *backend
 	slot   *slot
 	sent   time.Duration
+	stood  time.Duration // of the time since, this process stood still for so long
 	open   bool
 	told   bool // counted as late while still out
 	off    bool // called off, to be made elsewhere
@@ -242,6 +243,8 @@
 		g.onTimer(ev.Token)
 	case Counted:
 		g.onCounted(ev)
+	case Stood:
+		g.onStood(ev.For)
 	}
 	g.callOff()
 	actions, g.acts = g.acts, nil
--- a/decision/health.go
+++ b/decision/health.go
@@ -70,7 +70,7 @@
 			r := cl.first[0]
 			t := &r.tries[0]
 			waits := !r.ended && !r.streamed && len(r.tries) == 1 && t.open
-			if waits && (g.now-t.sent).Seconds() < deadAfter*cl.lat {
+			if waits && t.waited(g.now) < deadAfter*cl.lat {
 				break
 			}
 			cl.first[0], cl.first = nil, cl.first[1:]
@@ -90,3 +90,19 @@
 	b.owed = min(b.owed, quietFor+min(mostStrike, math.Ldexp(1, b.strikes)))
 	b.strikes++
 }
+
+// onStood takes what a standstill of this process took off what was out meanwhile: it tells of no backend.
+func (g *Gateway) onStood(d time.Duration) {
+	for _, r := range g.requests { // sets only: the order reaches no action
+		for i := range r.tries {
+			r.tries[i].stood += d
+		}
+	}
+	for _, b := range g.order {
+		b.owedAt = min(g.now, b.owedAt+d)
+	}
+	g.tickAt, g.splitAt = min(g.now, g.tickAt+d), min(g.now, g.splitAt+d)
+}
+
+// waited is how long an answer has been waited for, in seconds.
+func (t *attempt) waited(now time.Duration) float64 { return (now - t.sent - t.stood).Seconds() }
--- a/decision/reserves.go
+++ b/decision/reserves.go
@@ -164,7 +164,7 @@
 	sick, ready := 0, 0
 	for _, r := range g.requests { // counts only: the order reaches no action
 		for i := range r.tries {
-			if t := &r.tries[i]; t.open && !t.told && (g.now-t.sent).Seconds() > r.class.late() {
+			if t := &r.tries[i]; t.open && !t.told && t.waited(g.now) > r.class.late() {
 				t.b.badAt, t.told = g.now, true
 				g.ended++
 				g.bads++
--- a/door.go
+++ b/door.go
@@ -172,8 +172,9 @@
 	}
 	d.backends = drive.NewMux(d.protocols)
 	life := core.New(decider, set.Classes, core.Limits{Open: config.MaxOpen, Attempts: set.MaxAttempts,
-		Remember: remember}, clock.Now())
+		Remember: remember, Standstills: true}, clock.Now())
 	d.driver = drive.New(clock, life, d.backends, set.CanCancel)
+	d.driver.CatchUp(d.catchUp)
 	if d.counter != nil {
 		d.driver.Count(d.counter)
 	}
@@ -269,6 +270,24 @@
 	d.changed(decision.ListChanges, changes, bad)
 }
 
+// catchUp has all sources that can take in what has arrived, after a standstill.
+func (d *Door) catchUp(ctx context.Context, stood time.Duration) {
+	var asked sync.WaitGroup
+	since := time.Now().Add(-stood)
+	for _, o := range d.sources {
+		if c, ok := o.source.(Catcher); ok {
+			asked.Go(func() {
+				if err := c.CatchUp(ctx, since); err != nil && !d.closing.Load() {
+					d.listLog.Do(func() {
+						d.log.Warn("the door stood still, and can't hear a source: it goes on by what that said before", "stood", stood, "source", o.Name, "err", err)
+					})
+				}
+			})
+		}
+	}
+	asked.Wait()
+}
+
 // ripe lets happen what the table of members has waited for.
 func (d *Door) ripe() {
 	d.update.Lock()
--- a/internal/blocking/blocking.go
+++ b/internal/blocking/blocking.go
@@ -97,6 +97,10 @@
 	return Question{At: l.at, Index: l.index, Wait: wait, Patience: wait + wait/16 + 2*time.Second}
 }
 
+// Refresh has the next question be due now, and be answered at once, whatever was asked before it: of what was answered meanwhile nothing
+// has been seen.
+func (l *Loop) Refresh(now time.Duration) { l.index, l.at = 0, now }
+
 // Asked tells that the question is on its way.
 func (l *Loop) Asked(now time.Duration) { l.asked = now }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"pumicecroft/decision"
+	"pumicecroft/recovery"
 )
 
 // Why a request is not let in. None of these has led to an attempt.
@@ -47,6 +48,9 @@
 	Attempts int           // attempts that one request may have; 16
 	Ids      int           // ids remembered so that their effects do not happen again; 4,096
 	Remember time.Duration // how long such an id is remembered; 10 s
+	// Standstills has the core notice that its process stood still, and hold attempts back until what has arrived meanwhile has been
+	// taken in (CatchUp). Next is then never further away than recovery.Pulse.
+	Standstills bool
 }
 
 func (l Limits) withDefaults() Limits {
@@ -76,6 +80,7 @@
 	Probe                       // ask Backend for its load. Owed: one call of Probed
 	Subscribe                   // ask for changes of the list of backends
 	Count                       // ask the counter of all front doors as Counting says. Owed: one call of Counted
+	CatchUp                     // have all sources take in what has arrived. Owed: one call of CaughtUp with Serial
 )
 
 // Verdict is how a request ended.
@@ -105,6 +110,8 @@
 	RetryAfter time.Duration   // of a Final that refuses; 0: no advice
 	Why        decision.Reason // of a Final that refuses
 	Counting   decision.Count  // of a Count
+	Serial     uint64          // of a CatchUp
+	Stood      time.Duration   // of a CatchUp: for how long the process may have stood still
 }
 
 // Outcome is how an attempt ended, as its driver saw it.
@@ -123,6 +130,9 @@
 	due     time.Duration
 	open    bool
 	off     bool
+	held    bool          // its Start waits until the core has caught up
+	stopped bool          // its backend has been told to drain, or is gone, since it was chosen
+	stood   time.Duration // for how long the process stood still while it was out
 	result  decision.Result
 }
 
@@ -166,18 +176,24 @@
 // returns them in a slice that is good until the next call. Times are durations on one clock whose origin does
 // not matter; a time before an earlier one counts as that.
 type Core struct {
-	decide  Decider
-	limits  Limits
-	effects map[string]decision.Effect // of the classes
-	now     time.Duration
-	calls   map[decision.RequestID]*call
-	timers  timers
-	seq     uint64
-	events  []decision.Event // not yet handled; an action may add to them
-	actions []decision.Action
-	out     []Effect
-	closed  bool
-	strays  uint64
+	decide   Decider
+	limits   Limits
+	effects  map[string]decision.Effect // of the classes
+	now      time.Duration
+	calls    map[decision.RequestID]*call
+	timers   timers
+	seq      uint64
+	events   []decision.Event // not yet handled; an action may add to them
+	handling bool             // they are being handled
+	actions  []decision.Action
+	out      []Effect
+	closed   bool
+	strays   uint64
+
+	still    recovery.Standstill
+	catching uint64 // the serial of the CatchUp that is owed its answer; 0: none
+	serial   uint64
+	held     []heldStart
 
 	ids    map[decision.RequestID]bool
 	idFIFO []remembered // oldest first
@@ -225,6 +241,15 @@
 
 // Next is when Tick wants to be called, if nothing else happens before.
 func (c *Core) Next() (at time.Duration, ok bool) {
+	at, ok = c.due()
+	if pulse := c.still.Next(); c.limits.Standstills && (!ok || pulse < at) {
+		return pulse, true
+	}
+	return at, ok
+}
+
+// due is the first time that anything waits for.
+func (c *Core) due() (at time.Duration, ok bool) {
 	if len(c.timers) == 0 {
 		return 0, false
 	}
@@ -312,8 +337,12 @@
 	case mine: // part of its answer is with the client: there is nothing to make again
 		c.finish(k, Effect{Verdict: Failed})
 	}
-	c.handle(decision.Outcome{Request: id, Backend: t.backend, Attempt: attempt, Result: o.Result,
-		Took: c.now - t.sent, Final: k.ended, HasUse: o.HasUse, Use: o.Use, Units: o.Units, Load: o.Load})
+	told := decision.Outcome{Request: id, Backend: t.backend, Attempt: attempt, Result: o.Result,
+		Took: c.now - t.sent, Final: k.ended, HasUse: o.HasUse, Use: o.Use, Units: o.Units, Load: o.Load}
+	if t.stood > 0 {
+		told = old(told, t.stood)
+	}
+	c.handle(told)
 	c.forget(k)
 	return c.out
 }
@@ -321,6 +350,7 @@
 // List passes on news of the backends.
 func (c *Core) List(now time.Duration, list decision.BackendList) []Effect {
 	c.begin(now)
+	c.stop(&list)
 	c.handle(list)
 	return c.out
 }
@@ -364,6 +394,12 @@
 // begin is the start of each event: what was due before it happens before it.
 func (c *Core) begin(now time.Duration) {
 	c.now, c.out = max(c.now, now), c.out[:0]
+	if c.limits.Standstills {
+		due, waited := c.due()
+		if d := c.still.Seen(c.now, due, waited); d > 0 {
+			c.stood(d)
+		}
+	}
 	// A timer set from here on waits for the next call, so that none can keep this one from ending.
 	for before := c.seq; len(c.timers) > 0 && c.timers[0].at <= c.now && c.timers[0].seq <= before; {
 		t := heap.Pop(&c.timers).(*timer)
@@ -403,6 +439,16 @@
 // handle passes one event to the decision module, and then those that its actions led to.
 func (c *Core) handle(ev decision.Event) {
 	c.events = append(c.events, ev)
+	c.settle()
+}
+
+// settle passes on what waits, unless that is being done.
+func (c *Core) settle() {
+	if c.handling {
+		return
+	}
+	c.handling = true
+	defer func() { c.handling = false }()
 	for i := 0; i < len(c.events); i++ {
 		c.actions = c.decide.Handle(c.now, c.events[i], c.actions[:0])
 		for _, a := range c.actions {
@@ -460,8 +506,13 @@
 		t.due = c.now + a.Timeout
 		c.setMore(k, timer{at: t.due, call: k, kind: tryTimer, try: n})
 	}
+	t.held = c.catching > 0
 	k.tries = append(k.tries, t)
 	k.out++
+	if t.held {
+		c.held = append(c.held, heldStart{k, n, a.NotAfter})
+		return
+	}
 	c.out = append(c.out, Effect{Kind: Start, Tag: k.tag, Request: k.id, Attempt: n, Backend: a.Backend, Due: t.due, NotAfter: a.NotAfter})
 }
 
@@ -472,6 +523,10 @@
 		return
 	}
 	t.off = true
+	if t.held { // nobody else has heard of it
+		c.unsent(k, n)
+		return
+	}
 	c.out = append(c.out, Effect{Kind: CallOff, Tag: k.tag, Request: k.id, Attempt: n, Backend: t.backend,
 		TimedOut: timedOut})
 }
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"pumicecroft/decision"
+	"pumicecroft/recovery"
 )
 
 // TestMain has the property tests draw the same every time, unless -rapid.seed says otherwise.
@@ -44,6 +45,9 @@
 	reqs  map[decision.RequestID]*seen
 	order []decision.RequestID
 	depth int
+	owed  uint64        // the CatchUp that has no answer yet; 0: none
+	last  time.Duration // when anything happened last
+	still bool          // pauses are noticed
 }
 
 // Handle is the decision module: chance, or the one that ships, watched.
@@ -101,10 +105,19 @@
 
 // see checks the effects of one step.
 func (w *world) see(es []Effect) {
+	w.last = w.now
 	for _, e := range es {
 		s := w.reqs[e.Request]
 		switch e.Kind {
+		case CatchUp:
+			if !w.still || e.Serial <= w.owed {
+				w.t.Fatalf("%+v after %d", e, w.owed)
+			}
+			w.owed = e.Serial
 		case Start:
+			if w.owed > 0 {
+				w.t.Fatalf("%+v before the core has caught up", e)
+			}
 			if s.begun > 0 {
 				w.t.Fatalf("a start after an answer has begun: %+v", e)
 			}
@@ -145,7 +158,24 @@
 func (w *world) step() {
 	w.depth = 0
 	w.now += time.Duration(rapid.IntRange(0, 300).Draw(w.t, "pass")) * ms
-	switch rapid.IntRange(0, 8).Draw(w.t, "event") {
+	if w.still && rapid.IntRange(0, 9).Draw(w.t, "stands still") == 0 {
+		w.now += time.Duration(rapid.IntRange(100, 7000).Draw(w.t, "for")) * ms
+	}
+	if w.now-w.last > recovery.Pulse+recovery.Late && w.still && w.last > 0 {
+		before, from := w.owed, w.last
+		defer func() {
+			if w.last > from && w.owed == before {
+				w.t.Fatalf("%v went by, and nobody was asked to catch up", w.now-from)
+			}
+		}()
+	}
+	switch rapid.IntRange(0, 9).Draw(w.t, "event") {
+	case 9:
+		serial := w.owed
+		if rapid.IntRange(0, 4).Draw(w.t, "older") == 0 {
+			serial--
+		}
+		w.caughtUp(serial)
 	case 0, 1, 2:
 		id := decision.RequestID(len(w.order) + 1)
 		if len(w.order) > 0 && rapid.IntRange(0, 9).Draw(w.t, "again") == 0 {
@@ -198,6 +228,19 @@
 	}
 }
 
+// caughtUp answers a CatchUp; one that is asked for in the same moment is another.
+func (w *world) caughtUp(serial uint64) {
+	owed := w.owed
+	if serial == owed {
+		w.owed = 0
+	}
+	es := w.c.CaughtUp(w.now, serial)
+	if len(es) > 0 && es[0].Kind == CatchUp {
+		w.owed = owed
+	}
+	w.see(es)
+}
+
 func (w *world) end(id decision.RequestID, attempt int) {
 	s := w.reqs[id]
 	if !s.starts[attempt] {
@@ -215,6 +258,7 @@
 	// All time passes, and each attempt that was started ends.
 	for range 200 {
 		w.depth = 0
+		w.caughtUp(w.owed)
 		if at, ok := w.c.Next(); ok {
 			w.now = max(w.now, at)
 		}
@@ -253,7 +297,8 @@
 func TestAnyOrderOfEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{t: t, reqs: map[decision.RequestID]*seen{}}
-		w.c = New(w, classes, Limits{Attempts: 4}, 0)
+		w.still = rapid.Bool().Draw(t, "pauses are noticed")
+		w.c = New(w, classes, Limits{Attempts: 4, Standstills: w.still}, 0)
 		w.run()
 	})
 }
@@ -272,7 +317,8 @@
 			t.Fatal(err)
 		}
 		w.inner = g
-		w.c = New(w, set.Classes, Limits{}, 0)
+		w.still = rapid.Bool().Draw(t, "pauses are noticed")
+		w.c = New(w, set.Classes, Limits{Standstills: w.still}, 0)
 		w.run()
 		if w.c.Strays() != 0 {
 			t.Fatalf("%d actions of the decision module fit no request", w.c.Strays())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,7 +32,7 @@
 	debug.SetMemoryLimit(config.Limits.MemoryMB << 20 / 4 * 3) // the rest is for stacks, sockets and the program
 	moves := make(chan string)
 	options := []pumicecroft.Option{pumicecroft.WithLogger(slog.Default()),
-		pumicecroft.WithSource(platform.Discovery{Addr: config.Discovery, From: config.Known.Seq, Moves: moves,
+		pumicecroft.WithSource(&platform.Discovery{Addr: config.Discovery, From: config.Known.Seq, Moves: moves,
 			Ask: config.Conns.Ask, Seed: config.Seed})}
 	moved := func(string) {}
 	if config.Settings.SharedCounter {
--- a/internal/daemon/file.go
+++ b/internal/daemon/file.go
@@ -49,6 +49,14 @@
 	})
 }
 
+// CatchUp is the source's, if it has one.
+func (s speaking) CatchUp(ctx context.Context, since time.Time) error {
+	if c, ok := s.Source.(pumicecroft.Catcher); ok {
+		return c.CatchUp(ctx, since)
+	}
+	return nil
+}
+
 // sources are a file's, by precedence, with Consul's client if there is one; told is closed when what the file itself lists is known.
 func sources(f operator.File, told chan struct{}) (options []pumicecroft.Option, client *consul.Client, err error) {
 	for _, name := range f.Sources {
@@ -63,7 +71,7 @@
 			}
 		case operator.SourceDiscovery:
 			options = append(options, pumicecroft.WithOrigin(membership.Origin{Name: name, Plain: true},
-				speaking{platform.Discovery{Addr: f.Discovery, From: platform.FromTheStart}, f.DiscoverySpeaks}))
+				speaking{&platform.Discovery{Addr: f.Discovery, From: platform.FromTheStart}, f.DiscoverySpeaks}))
 		case operator.SourceFile:
 			options = append(options, pumicecroft.WithOrigin(membership.Origin{Name: name, Plain: true}, fixed{f.Backends, told}))
 		}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -167,7 +167,7 @@
 	}
 	list := s.discovery.List()
 	door, err := pumicecroft.New(pumicecroft.Config{Settings: s.settings, Known: list.Members()},
-		pumicecroft.WithSource(platform.Discovery{Addr: s.discovery.Addr(), From: list.Seq}))
+		pumicecroft.WithSource(&platform.Discovery{Addr: s.discovery.Addr(), From: list.Seq}))
 	if err != nil {
 		return err
 	}
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -79,11 +79,12 @@
 	NotAfter time.Time
 	Load     any // what Serve was given
 
-	call   *call
-	number int
-	mu     sync.Mutex
-	off    error  // why it was called off
-	stop   func() // ends the wait that the carrier is in
+	call    *call
+	number  int
+	decided time.Time
+	mu      sync.Mutex
+	off     error  // why it was called off
+	stop    func() // ends the wait that the carrier is in
 }
 
 // Why an attempt was called off.
@@ -129,8 +130,24 @@
 	return a.off
 }
 
-// TooLate tells whether the attempt must not leave any more.
-func (a *Attempt) TooLate() bool { return !a.NotAfter.IsZero() && time.Now().After(a.NotAfter) }
+// TooLate tells whether the attempt must not leave any more: its time is over, or it was decided a while ago and the core says no. A
+// carrier looks right before the first byte leaves, without a lock that CallOff's stop takes.
+func (a *Attempt) TooLate() bool {
+	now := time.Now()
+	if !a.NotAfter.IsZero() && now.After(a.NotAfter) {
+		return true
+	}
+	k := a.call
+	if k == nil || now.Sub(a.decided) <= core.Fresh {
+		return false
+	}
+	d := k.driver
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	effects, may := d.core.Leaves(d.clock.Now(), k.id, a.number)
+	d.carryOut(effects)
+	return !may
+}
 
 // Unless runs do if the attempt is not called off, and keeps it from being so meanwhile. do must not wait.
 func (a *Attempt) Unless(do func()) error {
@@ -197,8 +214,11 @@
 type Driver struct {
 	clock   Clock
 	carrier Carrier
-	counter Counter // nil: there is none, and each call ends as not sent
+	counter Counter                              // nil: there is none, and each call ends as not sent
+	catchUp func(context.Context, time.Duration) // nil: there is nothing to wait for
 	inline  bool
+	life    context.Context // until Stop
+	over    context.CancelFunc
 
 	mu     sync.Mutex
 	core   *core.Core
@@ -215,12 +235,31 @@
 // New starts a driver. canCancel tells whether the decision module calls attempts off whose request has ended; if
 // not, each attempt has a goroutine of its own, so that none holds back its request's answer.
 func New(clock Clock, c *core.Core, carrier Carrier, canCancel bool) *Driver {
-	return &Driver{clock: clock, core: c, carrier: carrier, inline: canCancel}
+	d := &Driver{clock: clock, core: c, carrier: carrier, inline: canCancel}
+	d.life, d.over = context.WithCancel(context.Background())
+	return d
 }
 
 // Count names the counter; it is called before anything is served.
 func (d *Driver) Count(c Counter) { d.counter = c }
 
+// CatchUp names what has all sources of lists take in what has arrived, where the process stood still for so long, and returns when they
+// have or ctx ends. It is called before anything is served.
+func (d *Driver) CatchUp(with func(ctx context.Context, stood time.Duration)) { d.catchUp = with }
+
+// catchUpMost is how long sources have to take in what has arrived. Most attempts wait for less than that at most; a source that answers
+// by then is heard, and one that does not is like one that was silent all the time.
+const catchUpMost = 500 * time.Millisecond
+
+func (d *Driver) caughtUp(serial uint64, stood time.Duration) {
+	if d.catchUp != nil {
+		ctx, cancel := context.WithTimeout(d.life, catchUpMost)
+		defer cancel()
+		d.catchUp(ctx, stood)
+	}
+	d.step(func(now time.Duration) []core.Effect { return d.core.CaughtUp(now, serial) })
+}
+
 // Clock is the driver's clock.
 func (d *Driver) Clock() Clock { return d.clock }
 
@@ -387,6 +426,8 @@
 				continue
 			}
 			d.counter.Add(e.Counting, d.counted)
+		case core.CatchUp:
+			go d.caughtUp(e.Serial, e.Stood)
 		case core.Subscribe: // whoever supplies the list does so anyway
 		}
 	}
@@ -423,7 +464,7 @@
 	if len(k.tries) > 0 {
 		a = &Attempt{}
 	}
-	a.Backend, a.Due, a.Load, a.call, a.number = e.Backend, d.clock.At(e.Due), k.load, k, e.Attempt
+	a.Backend, a.Due, a.Load, a.call, a.number, a.decided = e.Backend, d.clock.At(e.Due), k.load, k, e.Attempt, time.Now()
 	if e.NotAfter > 0 {
 		a.NotAfter = d.clock.At(e.NotAfter)
 	}
@@ -519,5 +560,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ended = true
+	d.over()
 	d.carryOut(d.core.Abort(d.clock.Now()))
 }
--- a/internal/httpback/backends.go
+++ b/internal/httpback/backends.go
@@ -173,6 +173,9 @@
 	case httpwire.Write:
 		c := x.Conn.Owner.(*conn)
 		err := a.Wait(func() { c.SetDeadline(time.Unix(1, 0)) })
+		if err == nil && a.TooLate() {
+			err = httpwire.ErrStale
+		}
 		if err == nil {
 			c.text, err = x.Text(c.text[:0], b.now())
 		}
--- a/internal/httpwire/exchange.go
+++ b/internal/httpwire/exchange.go
@@ -41,7 +41,8 @@
 var (
 	// ErrShort is what a dial ends with that could not be tried for want of descriptors: it says nothing of the backend.
 	ErrShort = errors.New("too few descriptors")
-	errStale = errors.New("the backend may be sent nothing new")
+	// ErrStale is what Wrote is told of a request that must not leave any more.
+	ErrStale = errors.New("the backend may be sent nothing new")
 	errEnded = errors.New("the connection ended before an answer")
 )
 
@@ -91,7 +92,7 @@
 // connect takes a connection, kept or new.
 func (x *Exchange) connect(now time.Duration, fresh bool) Op {
 	if x.off != On {
-		return x.unsent(errStale)
+		return x.unsent(ErrStale)
 	}
 	c, err := x.fleet.Pool.Take(now, x.Place, fresh)
 	switch {
@@ -127,7 +128,7 @@
 func (x *Exchange) connected(now time.Duration) Op {
 	if x.off != On || x.late(now) || x.fleet.ready(x.id) != x.Place {
 		x.drop()
-		return x.unsent(errStale)
+		return x.unsent(ErrStale)
 	}
 	return Write
 }
@@ -139,7 +140,7 @@
 // Write was wanted; Wrote takes it.
 func (x *Exchange) Text(b []byte, now time.Duration) ([]byte, error) {
 	if x.late(now) {
-		return b, errStale
+		return b, ErrStale
 	}
 	return x.request.Append(b, x.due-now), nil
 }
@@ -233,7 +234,7 @@
 	switch {
 	case x.off == CalledOff:
 		x.Result.Result = decision.Cancelled
-	case x.off == On && !errors.Is(err, errStale) && !errors.Is(err, connpool.ErrFull) && !errors.Is(err, ErrShort):
+	case x.off == On && !errors.Is(err, ErrStale) && !errors.Is(err, connpool.ErrFull) && !errors.Is(err, ErrShort):
 		x.Result.Result = decision.NoConnection
 	}
 	return End
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -29,8 +29,11 @@
 	Open        int           // requests that wait at once, for a connection or an answer; one more counts as lost
 	Timeout     time.Duration // of a request, from when it should have been asked
 	Follow      float64       // the share of clients that come back when a refusal says; others do not
-	Tries       int           // of a client that does
+	Hasty       float64       // the share that comes back at once, whatever a refusal says; they are not among those that follow it
+	Tries       int           // of a client that comes back
 	Customers   int
+	FirstOne    int     // the number of the first customer
+	First       uint64  // that requests are numbered from, so that two plans' ids differ
 	Zipf        float64 // exponent of their popularity, above 1; 0: all alike
 	Plans       []Weight
 	Kinds       []Kind
@@ -67,6 +70,7 @@
 	Plan     string
 	Key      uint64
 	Follows  bool // its client follows advice
+	Hasty    bool // its client comes back at once
 }
 
 const (
@@ -120,14 +124,19 @@
 		return Shot{}, false
 	}
 	d.number++
-	s := Shot{At: d.at, Number: d.number, Plan: p.Plans[d.plans.At(d.shots.Float64())].Name,
+	s := Shot{At: d.at, Number: p.First + d.number, Plan: p.Plans[d.plans.At(d.shots.Float64())].Name,
 		Kind: d.kinds.At(d.shots.Float64()), Follows: d.shots.Float64() < p.Follow}
+	if p.Hasty > 0 {
+		s.Hasty = d.shots.Float64() < p.Hasty
+		s.Follows = s.Follows && !s.Hasty
+	}
 	if d.zipf != nil {
 		s.Customer = int(d.zipf.Uint64())
 	} else {
 		s.Customer = d.shots.IntN(p.Customers)
 	}
-	s.Key = virtual.Mix(p.Seed ^ d.number)
+	s.Customer += p.FirstOne
+	s.Key = virtual.Mix(p.Seed ^ s.Number)
 	if keys := d.recent[s.Kind]; len(keys) > 0 && d.shots.Float64() < p.Kinds[s.Kind].Repeat {
 		s.Key = keys[d.shots.IntN(len(keys))]
 		return s, true
@@ -145,10 +154,13 @@
 	if !strings.Contains(text, "{") {
 		return text
 	}
-	return strings.NewReplacer("{id}", fmt.Sprintf("%016x", virtual.Mix(s.Number<<8|uint64(try))), "{customer}", fmt.Sprintf("%016x", s.Customer), "{plan}", s.Plan,
+	return strings.NewReplacer("{id}", id(s, try), "{customer}", fmt.Sprintf("%016x", s.Customer), "{plan}", s.Plan,
 		"{key}", fmt.Sprintf("%016x", s.Key), "{timeout}", fmt.Sprintf("%.3f", timeout.Seconds())).Replace(text)
 }
 
+// id names a try.
+func id(s *Shot, try int) string { return fmt.Sprintf("%016x", virtual.Mix(s.Number<<8|uint64(try))) }
+
 // platform are the fields of the platform's dialect.
 func platform(class string) []Header {
 	return []Header{{"Request-Id", "{id}"}, {"Request-Class", class}, {"X-Tier", "{plan}"}, {"X-Api-Key", "{customer}"}, {"Request-Timeout", "{timeout}"},
@@ -164,7 +176,7 @@
 	s := d.Top()
 	p := &Plan{Name: s.Text("name", true), Seed: uint64(s.Whole("seed", 1, 0, math.MaxInt)), Rate: s.Number("rate", 100, 1e-3, 1e6), Even: s.OneOf("arrivals", "poisson", "poisson", "even") == 1,
 		Duration: s.Duration("duration", 10*time.Second, time.Millisecond, 24*time.Hour), Requests: s.Whole("requests", 1_000_000, 1, 1e9), Connections: s.Whole("connections", 64, 1, 60_000),
-		Open: s.Whole("open", 10_000, 1, 1_000_000), Timeout: s.Duration("timeout", 10*time.Second, time.Millisecond, time.Hour), Follow: s.Number("follow", 0, 0, 1),
+		Open: s.Whole("open", 10_000, 1, 1_000_000), Timeout: s.Duration("timeout", 10*time.Second, time.Millisecond, time.Hour), Follow: s.Number("follow", 0, 0, 1), Hasty: s.Number("hasty", 0, 0, 1),
 		Tries: s.Whole("tries", 3, 1, 100), Customers: s.Whole("customers", 100, 1, 1e9), Zipf: s.Number("zipf", 0, 0, 10), MostLag: s.Duration("most_lag", 10*time.Millisecond, time.Microsecond, time.Minute)}
 	if p.Zipf > 0 && p.Zipf <= 1 {
 		s.Bad("zipf", "%v is not above 1, nor 0 for customers that are alike", p.Zipf)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -14,15 +14,35 @@
 	Target   string    // host:port
 	Anywhere bool      // it need not be on this machine
 	Out      io.Writer // gets a line a second; nil: nobody does
+	// Route names the target of each try of a request over HTTP, on this machine; nil: it is Target.
+	Route func(s *Shot, try int) (target string)
+	// Before hears of each try that is about to be asked, by its id, and Ended of each that has an end; both may be called by many
+	// goroutines at once. nil: nobody does.
+	Before func(s *Shot, try int, id string)
+	Ended  func(e End)
+}
+
+// End is how one try of a request ended.
+type End struct {
+	Shot       *Shot
+	Kind       string
+	Try        int
+	Target     string
+	At         time.Time // when it was asked
+	Took       time.Duration
+	Status     string // such as 200 or 503; of what has none, why
+	Good       bool
+	Refused    bool // and asking again is harmless
+	RetryAfter time.Duration
 }
 
 // Run asks a plan. When ctx ends it asks nothing more, waits for what is out as long as that has time, and gives what came of it by then.
 // An error means that nothing was asked.
 func Run(ctx context.Context, p *Plan, o Options) (*Result, error) {
-	if err := loopback(o.Target); err != nil && !o.Anywhere {
+	if err := loopback(o.Target); err != nil && !o.Anywhere && o.Route == nil {
 		return nil, err
 	}
-	var overH way = newHTTP(o.Target, p.Connections)
+	var overH way = newHTTP(p.Connections)
 	defer overH.close()
 	var overG way
 	for _, k := range p.Kinds {
@@ -36,7 +56,7 @@
 		}
 	}
 	res := newResult(p, o.Target)
-	r := runner{p: p, res: res, start: time.Now(), room: make(chan bool, p.Open)}
+	r := runner{p: p, o: &o, res: res, start: time.Now(), room: make(chan bool, p.Open)}
 	stop := r.tell(o.Out)
 	defer stop()
 	var asking sync.WaitGroup
@@ -105,6 +125,7 @@
 
 type runner struct {
 	p     *Plan
+	o     *Options
 	res   *Result
 	start time.Time
 	room  chan bool
@@ -116,11 +137,27 @@
 	ctx, cancel := context.WithDeadline(context.Background(), due)
 	defer cancel()
 	for try := 0; ; try++ {
-		a := w.ask(ctx, k, s, try, time.Until(due))
+		target := r.o.Target
+		if r.o.Route != nil && !k.GRPC {
+			target = r.o.Route(s, try)
+		}
+		if r.o.Before != nil {
+			r.o.Before(s, try, id(s, try))
+		}
+		asked := time.Now()
+		a := w.ask(ctx, target, k, s, try, time.Until(due))
 		took := time.Since(r.start) - s.At
-		if a.refused && s.Follows && try+1 < r.p.Tries && time.Now().Add(a.retryAfter).Before(due) {
+		if r.o.Ended != nil {
+			r.o.Ended(End{Shot: s, Kind: k.Name, Try: try, Target: target, At: asked, Took: time.Since(asked), Status: a.status, Good: a.good, Refused: a.refused,
+				RetryAfter: a.retryAfter})
+		}
+		wait := a.retryAfter
+		if s.Hasty {
+			wait = 0
+		}
+		if a.refused && (s.Follows || s.Hasty) && try+1 < r.p.Tries && time.Now().Add(wait).Before(due) {
 			r.res.again()
-			if sleep(ctx, a.retryAfter) {
+			if sleep(ctx, wait) {
 				continue
 			}
 		}
--- a/internal/load/ways.go
+++ b/internal/load/ways.go
@@ -30,7 +30,7 @@
 
 // way asks once.
 type way interface {
-	ask(ctx context.Context, k *Kind, s *Shot, try int, left time.Duration) reply
+	ask(ctx context.Context, target string, k *Kind, s *Shot, try int, left time.Duration) reply
 	close()
 }
 
@@ -50,19 +50,16 @@
 }
 
 // overHTTP asks over HTTP/1.1.
-type overHTTP struct {
-	transport *http.Transport
-	target    string
-}
+type overHTTP struct{ transport *http.Transport }
 
-func newHTTP(target string, conns int) *overHTTP {
-	return &overHTTP{&http.Transport{MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, MaxIdleConns: conns, DisableCompression: true, IdleConnTimeout: 30 * time.Second}, target}
+func newHTTP(conns int) *overHTTP {
+	return &overHTTP{&http.Transport{MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, MaxIdleConns: conns, DisableCompression: true, IdleConnTimeout: 30 * time.Second}}
 }
 
 func (w *overHTTP) close() { w.transport.CloseIdleConnections() }
 
-func (w *overHTTP) ask(ctx context.Context, k *Kind, s *Shot, try int, left time.Duration) reply {
-	req, err := http.NewRequestWithContext(ctx, k.Method, "http://"+w.target+fill(k.Path, s, try, left), strings.NewReader(fill(k.Body, s, try, left)))
+func (w *overHTTP) ask(ctx context.Context, target string, k *Kind, s *Shot, try int, left time.Duration) reply {
+	req, err := http.NewRequestWithContext(ctx, k.Method, "http://"+target+fill(k.Path, s, try, left), strings.NewReader(fill(k.Body, s, try, left)))
 	if err != nil {
 		return reply{status: "no request"}
 	}
@@ -136,7 +133,7 @@
 	}
 }
 
-func (w *overGRPC) ask(ctx context.Context, k *Kind, s *Shot, try int, left time.Duration) reply {
+func (w *overGRPC) ask(ctx context.Context, _ string, k *Kind, s *Shot, try int, left time.Duration) reply {
 	var pairs []string
 	for _, h := range k.Headers {
 		pairs = append(pairs, strings.ToLower(h.Name), fill(h.Value, s, try, left))
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -9,10 +9,12 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"pumicecroft/decision"
 	"pumicecroft/internal/pace"
+	"pumicecroft/internal/unread"
 	"pumicecroft/membership"
 
 	"golang.org/x/time/rate"
@@ -58,7 +60,7 @@
 	return out
 }
 
-// Discovery follows the platform's discovery. It is a source of lists for the library.
+// Discovery follows the platform's discovery. It is a source of lists for the library, and must not be copied once it runs.
 type Discovery struct {
 	Addr  string
 	From  int64         // the version of the list that is known, or FromTheStart
@@ -66,10 +68,108 @@
 	// Ask is the time within which discovery has to be asked, where a call costs it work; 0: it does not.
 	Ask  time.Duration
 	Seed uint64 // of the moments at which it is asked
+
+	ears ears
+}
+
+// ears is what CatchUp knows of the watch that is open.
+type ears struct {
+	mu      sync.Mutex
+	conn    *unread.Conn  // of the watch, or of the one that is being opened
+	told    bool          // it has told what had changed before it was opened
+	lost    time.Time     // since when there is none that has; zero: there was none yet
+	heard   time.Time     // when it said anything last
+	changed chan struct{} // closed at the next change, if somebody waits for that
+	hurry   chan struct{} // holds one: what is waited for before the next watch need not be
+}
+
+// change makes a change.
+func (e *ears) change(do func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	do()
+	if e.changed != nil {
+		close(e.changed)
+		e.changed = nil
+	}
+}
+
+// dial opens a connection that is listened to.
+func (e *ears) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	u := unread.New(c, func() { e.change(func() {}) })
+	e.change(func() { e.conn = u })
+	return u, nil
+}
+
+// ended notes that a watch has ended.
+func (e *ears) ended() {
+	e.change(func() {
+		if e.told {
+			e.lost = time.Now()
+		}
+		e.conn, e.told = nil, false
+	})
+}
+
+// silent tells whether the connection holds nothing that nobody has read, and its reader has dealt with all that it has.
+func (e *ears) silent() bool {
+	e.mu.Lock()
+	c := e.conn
+	e.mu.Unlock()
+	return c == nil || c.Nothing()
+}
+
+// CatchUp returns when all that discovery had told when it was called has been reported. If the watch has ended since a time, or has been
+// silent for too long, the next one is waited for, and opened at once where a call costs nothing. One that had ended before that is not:
+// discovery can't be heard, and the door has gone on without it.
+func (d *Discovery) CatchUp(ctx context.Context, since time.Time) error {
+	e := &d.ears
+	for {
+		e.mu.Lock()
+		if e.changed == nil {
+			e.changed = make(chan struct{})
+		}
+		changed, c, open, gone := e.changed, e.conn, e.told && time.Since(e.heard) < watchSilence, !e.told && e.lost.Before(since)
+		e.mu.Unlock()
+		if gone {
+			return fmt.Errorf("discovery: %w", errSilent)
+		}
+		if open && c.Nothing() {
+			return nil
+		}
+		if !open && d.Ask == 0 {
+			e.hurried()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fmt.Errorf("discovery: %w", errSilent)
+		}
+	}
+}
+
+func (e *ears) hurried() {
+	select {
+	case e.waits() <- struct{}{}:
+	default:
+	}
+}
+
+func (e *ears) waits() chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.hurry == nil {
+		e.hurry = make(chan struct{}, 1)
+	}
+	return e.hurry
 }
 
 // Run follows discovery until ctx ends.
-func (d Discovery) Run(ctx context.Context, update func(membership.List)) {
+func (d *Discovery) Run(ctx context.Context, update func(membership.List)) {
 	d.Follow(ctx, func(l EndpointList) { update(l.Members()) })
 }
 
@@ -85,7 +185,7 @@
 
 // Follow follows discovery until ctx ends. Another discovery may number its versions in another way, so after a move
 // the whole list is taken first.
-func (d Discovery) Follow(ctx context.Context, update func(EndpointList)) {
+func (d *Discovery) Follow(ctx context.Context, update func(EndpointList)) {
 	addr, from, asking := d.Addr, d.From, pace.New(d.Ask, d.Seed)
 	wanted := d.Ask
 	if from == FromTheStart {
@@ -95,10 +195,10 @@
 		begin := asking.Begin(wanted)
 		watching, stop := context.WithCancel(ctx)
 		ended := make(chan struct{})
-		go func() {
+		go func(addr string, from int64) { // as they are now: a move changes them while this runs
 			defer close(ended)
-			keepWatching(watching, addr, from, begin, asking, update)
-		}()
+			d.keepWatching(watching, addr, from, begin, asking, update)
+		}(addr, from)
 		select {
 		case addr = <-d.Moves:
 			from, wanted = FromTheStart, movedWithin
@@ -113,15 +213,16 @@
 }
 
 // keepWatching follows one discovery, over as many watches as it takes, until ctx ends.
-func keepWatching(ctx context.Context, addr string, from int64, wait time.Duration, asking *pace.Pace, update func(EndpointList)) {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true,
-		DisableCompression: true}
+func (d *Discovery) keepWatching(ctx context.Context, addr string, from int64, wait time.Duration, asking *pace.Pace, update func(EndpointList)) {
+	transport := &http.Transport{DialContext: d.ears.dial, DisableKeepAlives: true, DisableCompression: true}
+	hurry := d.ears.waits()
 	sometimes := rate.Sometimes{First: 3, Interval: 5 * time.Second}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(wait):
+		case <-hurry:
 		}
 		var err error
 		begun := time.Now()
@@ -129,8 +230,9 @@
 			err = fetch(ctx, transport, addr, &from, update)
 		}
 		if err == nil {
-			err = watch(ctx, transport, addr, watchSilence, &from, update)
+			err = watch(ctx, transport, addr, watchSilence, &from, &d.ears, update)
 		}
+		d.ears.ended()
 		if ctx.Err() != nil {
 			return
 		}
@@ -189,18 +291,32 @@
 
 // watch follows discovery over one connection. A line that cannot be read ends it, and the next watch asks for
 // the same changes again: passing over the line could lose the word that a backend drains.
-func watch(ctx context.Context, rt http.RoundTripper, addr string, silence time.Duration, from *int64,
+//
+// Silence is what the watch keeps while somebody listens: if this process stood still, what it said meanwhile has come and waits.
+func watch(ctx context.Context, rt http.RoundTripper, addr string, silence time.Duration, from *int64, e *ears,
 	update func(EndpointList)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	alarm := time.AfterFunc(silence, func() { cancel(errSilent) })
+	var alarm *time.Timer
+	armed := make(chan struct{})
+	alarm = time.AfterFunc(silence, func() {
+		if <-armed; e.silent() {
+			cancel(errSilent)
+		} else {
+			alarm.Reset(silence)
+		}
+	})
+	close(armed)
 	defer alarm.Stop()
 	res, err := ask(ctx, rt, fmt.Sprintf("http://%s/v1/endpoints?watch=1&from=%d", addr, *from))
 	if err != nil {
 		return err
 	}
 	defer res.Body.Close()
-	lines := json.NewDecoder(heard{res.Body, func() { alarm.Reset(silence) }})
+	lines := json.NewDecoder(heard{res.Body, func() {
+		alarm.Reset(silence)
+		e.change(func() { e.heard = time.Now() })
+	}})
 	for {
 		var list EndpointList
 		if err := lines.Decode(&list); err != nil {
@@ -213,6 +329,7 @@
 		slog.Info("discovery", "seq", list.Seq, "whole", list.Whole, "hosts", len(list.Hosts))
 		update(list)
 		*from = list.Seq
+		e.change(func() { e.told = true })
 	}
 }
 
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,7 +38,7 @@
 	from := int64(41)
 	for want, wantSeq := range []int64{42, 42, 43} {
 		ctx, cancel := context.WithTimeout(t.Context(), testkit.Patient)
-		err := watch(ctx, &http.Transport{}, addr, time.Second, &from, func(l EndpointList) { lists <- l })
+		err := watch(ctx, &http.Transport{}, addr, time.Second, &from, &ears{}, func(l EndpointList) { lists <- l })
 		if err == nil || ctx.Err() != nil || from != wantSeq {
 			t.Errorf("watch %d ended with %v at version %d, want %d", want+1, err, from, wantSeq)
 		}
@@ -63,7 +66,7 @@
 		fmt.Fprintln(w, `{"seq":50,"whole":true,"hosts":[]}`)
 	})
 	from := int64(1)
-	err := watch(t.Context(), &http.Transport{}, addr, silence, &from, func(EndpointList) {})
+	err := watch(t.Context(), &http.Transport{}, addr, silence, &from, &ears{}, func(EndpointList) {})
 	if from != 50 {
 		t.Errorf("ended with %v at version %d", err, from)
 	}
@@ -94,7 +97,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan bool)
 	go func() {
-		Discovery{Addr: first, From: 800, Moves: moves}.Follow(ctx, func(l EndpointList) { lists <- l })
+		(&Discovery{Addr: first, From: 800, Moves: moves}).Follow(ctx, func(l EndpointList) { lists <- l })
 		close(ended)
 	}()
 	if got := <-askedFirst; got != "/v1/endpoints?watch=1&from=800" {
@@ -130,7 +133,7 @@
 	moves, lists, ended := make(chan string), make(chan EndpointList, 100), make(chan bool)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
-		Discovery{Addr: good, From: 3, Moves: moves, Ask: 50 * time.Millisecond, Seed: 1}.Follow(ctx, func(l EndpointList) { lists <- l })
+		(&Discovery{Addr: good, From: 3, Moves: moves, Ask: 50 * time.Millisecond, Seed: 1}).Follow(ctx, func(l EndpointList) { lists <- l })
 		close(ended)
 	}()
 	testkit.Await(t, lists, "the first list")
@@ -150,3 +153,132 @@
 	cancel()
 	testkit.Await(t, ended, "the end")
 }
+
+// What discovery had told when CatchUp was asked for has been reported when it returns: what a reader had not come to, what a watch that
+// had ended would have said, and nothing is waited for that could not be heard before.
+func TestCatchUp(t *testing.T) {
+	d := newScriptedDiscovery(t)
+	var reported atomic.Int64
+	gate := make(chan bool, 1) // held: nothing is reported
+	source := &Discovery{Addr: d.addr, From: 1}
+	if err := source.CatchUp(t.Context(), time.Now()); !errors.Is(err, errSilent) {
+		t.Errorf("before anything was asked: %v", err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan bool)
+	go func() {
+		source.Follow(ctx, func(l EndpointList) {
+			gate <- true
+			reported.Store(l.Seq)
+			<-gate
+		})
+		close(ended)
+	}()
+	caught := func(since time.Time, want int64) {
+		t.Helper()
+		long, stop := context.WithTimeout(t.Context(), testkit.Patient)
+		defer stop()
+		if err := source.CatchUp(long, since); err != nil || reported.Load() < want {
+			t.Fatalf("caught up (%v) with %d reported, %d had been told", err, reported.Load(), want)
+		}
+	}
+	begin := time.Now()
+	for reported.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	for seq := int64(3); seq < 30; seq++ {
+		d.tell(t, seq)
+		caught(time.Now(), seq)
+	}
+	gate <- true // it can't report for now
+	d.tell(t, 30)
+	done := make(chan bool)
+	go func() { caught(time.Now(), 30); close(done) }()
+	select {
+	case <-done:
+		t.Error("it has caught up with what is not reported")
+	case <-time.After(50 * time.Millisecond):
+	}
+	<-gate
+	testkit.Await(t, done, "it to catch up")
+	d.tell(t, 31)
+	d.cut() // what was told waits, or is lost with its watch: the next one says it
+	caught(begin, 31)
+	d.down()
+	d.cut()
+	for open := true; open; time.Sleep(time.Millisecond) { // until the end of the watch is seen
+		source.ears.mu.Lock()
+		open = source.ears.told
+		source.ears.mu.Unlock()
+	}
+	short, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer stop()
+	if err := source.CatchUp(short, begin); err == nil {
+		t.Error("nothing can be heard, and it has caught up")
+	}
+	if err := source.CatchUp(t.Context(), time.Now()); !errors.Is(err, errSilent) {
+		t.Errorf("what could not be heard before is waited for: %v", err)
+	}
+	cancel()
+	testkit.Await(t, ended, "the end")
+}
+
+// scripted is a discovery whose watches say what the test says.
+type scripted struct {
+	addr  string
+	mu    sync.Mutex
+	seq   int64
+	dead  bool
+	news  chan bool  // closed at each change
+	end   chan bool  // closed to cut the watches
+	wrote chan int64 // takes each version that was written
+}
+
+func newScriptedDiscovery(t *testing.T) *scripted {
+	d := &scripted{seq: 2, news: make(chan bool), end: make(chan bool), wrote: make(chan int64, 100)}
+	d.addr = testkit.Serve(t, func(w http.ResponseWriter, r *http.Request) {
+		for {
+			d.mu.Lock()
+			seq, dead, news, end := d.seq, d.dead, d.news, d.end
+			d.mu.Unlock()
+			if dead {
+				panic(http.ErrAbortHandler)
+			}
+			fmt.Fprintf(w, `{"seq":%d,"whole":false,"hosts":[]}`+"\n", seq)
+			w.(http.Flusher).Flush()
+			d.wrote <- seq
+			select {
+			case <-news:
+			case <-end:
+				panic(http.ErrAbortHandler)
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+	return d
+}
+
+// tell says a version to all watches and returns when it has been written.
+func (d *scripted) tell(t *testing.T, seq int64) {
+	d.mu.Lock()
+	d.seq = seq
+	close(d.news)
+	d.news = make(chan bool)
+	d.mu.Unlock()
+	for testkit.Await(t, d.wrote, "a version to be written") != seq {
+	}
+}
+
+func (d *scripted) cut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.end)
+	d.end = make(chan bool)
+}
+
+func (d *scripted) down() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dead = true
+}
--- a/internal/standin/ask.go
+++ b/internal/standin/ask.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -21,7 +22,8 @@
 	Spread   int     // 0: 1
 	First    int
 	Timeout  time.Duration
-	Key      string // not empty: it is a POST with this key
+	Patience time.Duration // how long its client waits in truth; 0: Timeout
+	Key      string        // not empty: it is a POST with this key
 	Body     string
 	Header   http.Header // put on top
 }
@@ -84,7 +86,7 @@
 // Do asks a front door, waits for as long as the client does, and reads the whole answer. An answer that belongs
 // to another request counts as lost.
 func (a Ask) Do(ctx context.Context, rt http.RoundTripper, addr string) Reply {
-	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(a.Patience, a.Timeout))
 	defer cancel()
 	start := time.Now()
 	out := func(r Reply) Reply { r.Took = time.Since(start); return r }
--- a/internal/standin/askgrpc.go
+++ b/internal/standin/askgrpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -28,7 +29,7 @@
 // What cannot be said so (a class that is not there, a time that is no number) is sent as it stands. The reply's status is
 // the one that HTTP's front has for the same end; see grpcStatus.
 func (a Ask) DoGRPC(ctx context.Context, rt http.RoundTripper, addr string) Reply {
-	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(a.Patience, a.Timeout))
 	defer cancel()
 	start := time.Now()
 	out := func(r Reply) Reply { r.Took = time.Since(start); return r }
--- /dev/null
+++ b/internal/unread/unread_test.go
@@ -0,0 +1,69 @@
+package unread
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"pumicecroft/internal/testkit"
+)
+
+// Nothing is unread while the reader waits, something is from when it has come until the reader waits again, and the end is no nothing.
+func TestNothing(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	far, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	near, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := make(chan bool, 100)
+	c := New(near, func() { told <- true })
+	if c.Nothing() {
+		t.Error("nobody reads, and nothing is unread")
+	}
+	got, deal := make(chan string), make(chan bool)
+	ended := make(chan error, 1)
+	go func() {
+		b := make([]byte, 10)
+		for {
+			n, err := c.Read(b)
+			if err != nil {
+				ended <- err
+				return
+			}
+			got <- string(b[:n])
+			<-deal
+		}
+	}()
+	for range 3 {
+		testkit.Await(t, told, "the reader to wait")
+		if !c.Nothing() {
+			t.Error("the reader waits for more, and something is unread")
+		}
+		io.WriteString(far, "x")
+		if s := testkit.Await(t, got, "what was written"); s != "x" {
+			t.Errorf("read %q", s)
+		}
+		if c.Nothing() {
+			t.Error("what was read is not dealt with, and nothing is unread")
+		}
+		deal <- true
+	}
+	testkit.Await(t, told, "the reader to wait")
+	far.Close()
+	if err := testkit.Await(t, ended, "the end"); err != io.EOF {
+		t.Errorf("it ended with %v", err)
+	}
+	c.Close()
+	if c.Nothing() {
+		t.Error("it is closed, and nothing is unread")
+	}
+}
