The seeded world tells doors that stand still; Consul's questions too; a drain that was hidden

Now what comes to a door that stands still counts from then, and attempts are held to the rule once more when their first byte leaves. The world's sources catch up as the shipped ones do.

--- a/consul/consul.go
+++ b/consul/consul.go
@@ -15,6 +15,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"slices"
 	"strconv"
@@ -26,6 +27,7 @@
 
 	"pumicecroft/internal/blocking"
 	"pumicecroft/internal/registry"
+	"pumicecroft/internal/unread"
 	"pumicecroft/membership"
 )
 
@@ -89,12 +91,22 @@
 		scheme, addr = "http", c.Address
 	}
 	dialer := &net.Dialer{Timeout: 2 * time.Second, KeepAlive: 5 * time.Second}
-	transport := &http.Transport{DialContext: dialer.DialContext, TLSHandshakeTimeout: 2 * time.Second, MaxIdleConnsPerHost: 64,
+	listened := func(c net.Conn, err error) (net.Conn, error) {
+		if err != nil {
+			return nil, err
+		}
+		return unread.New(c, nil), nil
+	}
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return listened(dialer.DialContext(ctx, network, addr))
+	}, TLSHandshakeTimeout: 2 * time.Second, MaxIdleConnsPerHost: 64,
 		IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: 64 << 10}
 	switch scheme {
 	case "unix":
 		path := addr
-		transport.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) { return dialer.DialContext(ctx, "unix", path) }
+		transport.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return listened(dialer.DialContext(ctx, "unix", path))
+		}
 		scheme, addr = "http", "localhost"
 	case "http", "https":
 		host, _, err := net.SplitHostPort(addr)
@@ -198,6 +210,8 @@
 	mu     sync.Mutex
 	wanted []chan error       // each takes the answer's end
 	cut    context.CancelFunc // ends the question that is out; nil: none is
+	conn   *unread.Conn       // that it is on; nil: on none yet, or one that tells nothing
+	got    uint64             // what had been read of that before
 	hurry  chan struct{}      // holds one: a question is wanted at once
 	failed time.Time          // since when its questions fail; zero: they do not
 }
@@ -218,7 +232,7 @@
 			case l.hurry <- struct{}{}:
 			default:
 			}
-			if l.cut != nil {
+			if l.cut != nil && !l.comes() {
 				l.cut()
 			}
 		}
@@ -239,11 +253,51 @@
 	return errs
 }
 
+// comes tells whether anything of the answer to the question that is out has come; it wants the lock. What has come is told, whatever
+// becomes of the next question.
+func (f *fresh) comes() bool { return f.conn != nil && (!f.conn.Nothing() || f.conn.Got() > f.got) }
+
+// alarm calls silent after a question's patience; if something of its answer has come by then, as this process stood still, a while later.
+func (f *fresh) alarm(patience time.Duration, silent func()) *time.Timer {
+	var t *time.Timer
+	armed, late := make(chan struct{}), false
+	t = time.AfterFunc(patience, func() {
+		<-armed
+		f.mu.Lock()
+		comes := f.comes() && !late
+		late = true
+		f.mu.Unlock()
+		if comes {
+			t.Reset(comesWithin)
+		} else {
+			silent()
+		}
+	})
+	close(armed)
+	return t
+}
+
+// comesWithin is how long an answer may take that has begun to come when its question's patience is over.
+const comesWithin = time.Second
+
+// on notes the connection that a question is on.
+func (f *fresh) on(c net.Conn) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	u, _ := c.(*unread.Conn)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conn = u; u != nil {
+		f.got = u.Got()
+	}
+}
+
 // begin begins a question and gives what has been asked for by then; more is asked for with the next one.
 func (f *fresh) begin(cut context.CancelFunc) (wanted []chan error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	wanted, f.wanted, f.cut = f.wanted, nil, cut
+	wanted, f.wanted, f.cut, f.conn = f.wanted, nil, cut, nil
 	select {
 	case <-f.hurry: // by this one
 	default:
@@ -288,6 +342,9 @@
 		defer mu.Unlock()
 		now := time.Now()
 		err := what(now)
+		if l := book.Drains(); len(l.Nodes) > 0 {
+			update(l)
+		}
 		if l, ok := book.List(now); ok {
 			l.Anew = v.Anew
 			update(l)
@@ -380,7 +437,8 @@
 			q = loop.Next()
 		}
 		loop.Asked(time.Since(start))
-		asking, cancel := context.WithTimeoutCause(whole, q.Patience, errSilent)
+		asking := httptrace.WithClientTrace(whole, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { f.on(i.Conn) }})
+		alarm := f.alarm(q.Patience, func() { cut(errSilent) })
 		o, err := w.client.options(asking)
 		var answer blocking.Answer
 		var then func(blocking.Verdict)
@@ -392,7 +450,7 @@
 			err = cause
 		}
 		cut(nil)
-		cancel()
+		alarm.Stop()
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -74,6 +74,7 @@
 	called  string // by the mapping
 	epoch   int
 	absent  time.Time // since when nobody lists it; zero: it is listed
+	hidden  bool      // Drains has told of it
 }
 
 // keepAbsent is for how long an entry that nobody lists is kept, so that it is known again when a catalogue that
@@ -331,6 +332,26 @@
 	return l, true
 }
 
+// Drains are the nodes that health says must not be sent to, and that List does not give, as the catalogue lacks them: each once, until it
+// is well or listed again. A catalogue that lacks all may be doubted as a whole, and what health says of one node must not go with it: so
+// this is told before List. It is not whole.
+func (b *Book) Drains() (l membership.List) {
+	if b.waits || !b.told || b.exist == nil {
+		return l
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.nodes)) {
+		r := b.nodes[name]
+		hidden := !b.exist[name] && b.listed[name] && r.node.State == decision.Draining
+		if hidden && !r.hidden {
+			n := r.node
+			n.Name = cmp.Or(r.called, n.Name)
+			l.Nodes = append(l.Nodes, n)
+		}
+		r.hidden = hidden
+	}
+	return l
+}
+
 func b2i(b bool) int {
 	if b {
 		return 1
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -265,3 +265,39 @@
 		t.Errorf("%d nodes, %d listed", len(b.nodes), len(b.listed))
 	}
 }
+
+// What health says must not be sent to, and a catalogue that lacks it takes out of the list, is told once more before it is gone.
+func TestADrainThatTheCatalogueHides(t *testing.T) {
+	b := NewBook(Mapping{}, true)
+	names := func(es ...Entry) (out []string) {
+		for _, e := range es {
+			out = append(out, Name(e.Node, e.ID))
+		}
+		return out
+	}
+	drains := func(at float64, list, hidden string) {
+		t.Helper()
+		var got []string
+		for _, n := range b.Drains().Nodes {
+			got = append(got, n.Name+":"+[]string{"ready", "draining", "gone"}[n.State])
+		}
+		if s := strings.Join(got, " "); s != hidden {
+			t.Errorf("at %v: hidden %q, want %q", at, s, hidden)
+		}
+		want(t, b, at, list)
+	}
+	health(t, b, 0, entry("a"), entry("b"))
+	b.Catalogue(names(entry("a"), entry("b")))
+	drains(0, "n/a:ready n/b:ready", "")
+	b.Catalogue(nil)
+	health(t, b, 1, entry("a", status("critical")), entry("b"))
+	drains(1, "", "n/a:draining")
+	drains(2, "", "") // once
+	health(t, b, 2, entry("a", status("critical")), entry("b", status("critical")))
+	drains(2, "", "n/b:draining") // which was out of the list already
+	health(t, b, 3, entry("a"), entry("b"))
+	b.Catalogue(names(entry("a"), entry("b")))
+	drains(3, "n/a:ready n/b:ready", "")
+	health(t, b, 4, entry("a", status("critical")), entry("b"))
+	drains(4, "n/a:draining n/b:ready", "")
+}
--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -117,10 +117,7 @@
 	if a.turnedAway {
 		c.w.broken("nothing follows the final answer", "ask %d is sent to %s after it was turned away", a.number, name)
 	}
-	if told, out := d.lists.told[name]; out && c.w.now > told+drainGrace {
-		c.w.broken("drains are honoured", "door %d sends ask %d to %s, of which it was told %v before that it drains or is gone", d.number, a.number,
-			name, c.w.now-told)
-	}
+	c.drains(d, try, 0)
 	if a.customer == flagshipAsker && a.sent == 1 {
 		s := &c.store
 		if !s.begun {
@@ -134,6 +131,24 @@
 	}
 }
 
+// leaves is an attempt whose first byte leaves a door.
+func (c *check) leaves(d *door, try *attempt) { c.drains(d, try, sendSlack) }
+
+// sendSlack is what sockets add to the limit.
+const sendSlack = 50 * time.Millisecond
+
+func (c *check) drains(d *door, try *attempt, slack time.Duration) {
+	name := d.lists.byID[try.backend]
+	told, out := d.lists.told[name]
+	if at, came := d.lists.arrived[name]; came && (!out || at < told) {
+		told, out = at, true
+	}
+	if out && c.w.now > told+drainGrace+slack {
+		c.w.broken("drains are honoured", "door %d sends ask %d to %s, of which it was told %v before that it drains or is gone", d.number, try.ask.number,
+			name, c.w.now-told)
+	}
+}
+
 // ran is an attempt that a backend has run.
 func (c *check) ran(j *job, b *backend) {
 	a := j.ask
--- a/internal/sim/door.go
+++ b/internal/sim/door.go
@@ -58,6 +58,7 @@
 	backend decision.BackendID
 	due     time.Duration
 	latest  time.Duration // it must not leave after that; 0: none
+	decided time.Duration
 	off     httpwire.Off
 	cut     func() // ends the wait that it is in
 	serial  int    // of the operation that it waits for
@@ -69,6 +70,7 @@
 const (
 	connectTimeout = 250 * time.Millisecond
 	probeTimeout   = time.Second
+	catchUpMost    = 500 * time.Millisecond
 )
 
 // boot starts the process with its last lists.
@@ -85,7 +87,7 @@
 		decider = &restless{gateway, d.w.chance(9, uint64(d.number), uint64(d.epoch)), len(d.r.backends), &d.r.over}
 	}
 	d.core = core.New(decider, set.Classes, core.Limits{Open: d.r.shape.mostOpen, Attempts: d.r.shape.mostAttempts, Ids: d.r.shape.mostIDs,
-		Remember: 15 * time.Second}, d.w.now)
+		Remember: 15 * time.Second, Standstills: true}, d.w.now)
 	d.fleet = httpwire.NewFleet(d.r.shape.conns, d.r.shape.idle, nil)
 	d.out, d.held, d.links, d.open, d.alarms = map[*attempt]bool{}, nil, map[*link]bool{}, 0, [5]time.Duration{}
 	d.passed = map[keys.Entry]*ask{}
@@ -212,7 +214,7 @@
 	for _, e := range effects {
 		switch e.Kind {
 		case core.Start:
-			try := &attempt{ask: e.Tag.(*ask), number: e.Attempt, backend: e.Backend, due: e.Due, latest: e.NotAfter, over: d.ended}
+			try := &attempt{ask: e.Tag.(*ask), number: e.Attempt, backend: e.Backend, due: e.Due, latest: e.NotAfter, decided: d.w.now, over: d.ended}
 			try.ask.tries = append(try.ask.tries, try)
 			d.out[try] = true
 			d.c.started(d, try)
@@ -228,6 +230,8 @@
 					try.callOff(why)
 				}
 			}
+		case core.CatchUp:
+			d.catchUp(e)
 		case core.Final:
 			a := e.Tag.(*ask)
 			verdict := [...]string{"served", "refused", "failed", "late", "left", "aborted"}[e.Verdict]
@@ -247,6 +251,34 @@
 	d.arm()
 }
 
+// catchUp has the sources take in what has arrived: discovery when its reader has seen all of it, and the catalogue by asking anew; for so
+// long as the driver waits for them.
+func (d *door) catchUp(e core.Effect) {
+	d.w.tell("door %d stood still for %v", d.number, e.Stood)
+	epoch, left := d.epoch, 1
+	caught := func() {
+		d.in(epoch, nil, func() {
+			d.w.tell("door %d has caught up", d.number)
+			d.carry(d.core.CaughtUp(d.w.now, e.Serial))
+		})
+	}
+	done := func() {
+		if left--; left == 0 {
+			caught()
+		}
+	}
+	if d.r.shape.discovery {
+		left++
+		d.w.after(0, func() { d.in(epoch, discovery, done) })
+	}
+	if d.r.shape.catalogue && d.lists.watch != nil {
+		left++
+		d.w.after(0, func() { d.in(epoch, nil, func() { d.lists.watch.catchUp(d.w.now-e.Stood, done) }) })
+	}
+	d.w.after(catchUpMost, func() { d.in(epoch, nil, func() { left = -1; caught() }) })
+	done()
+}
+
 // asksKey tells whether an ask with a key is to go on; if not, it waits or has its answer.
 func (d *door) asksKey(a *ask) bool {
 	got, given := d.keys.Ask(d.w.now, decision.CustomerID(a.customer), a.storeKey(), keys.Digest{a.digest}, a, d.w.now+a.timeout-core.LastMargin)
@@ -482,6 +514,12 @@
 	b := l.backend
 	l.sentAt = d.w.now
 	text, late := x.Text(nil, d.w.now)
+	if a := try.ask; late == nil && a != nil && d.w.now-try.decided > core.Fresh {
+		effects, may := d.core.Leaves(d.w.now, decision.RequestID(a.id), try.number)
+		if d.carry(effects); !may {
+			late = httpwire.ErrStale
+		}
+	}
 	switch {
 	case late != nil:
 		err = late
@@ -507,6 +545,7 @@
 		try.left = true
 		d.c.left++
 		if try.ask != nil {
+			d.c.leaves(d, try)
 			d.w.tell("door %d sends %d/%d to backend %d", d.number, try.ask.number, try.number, b.number)
 		}
 	}
--- a/internal/sim/sources.go
+++ b/internal/sim/sources.go
@@ -32,6 +32,7 @@
 	words    map[string]map[string]decision.BackendState // by node, by source, as told last
 	whole    map[string]map[string]bool                  // by source, what its last whole list named
 	told     map[string]time.Duration                    // since when it has been told that a node drains or is gone
+	arrived  map[string]time.Duration                    // the same, of what came while it stood still and is not read
 	starts   map[string]time.Duration                    // the latest start of a node that it has been told of
 	byID     map[decision.BackendID]string
 }
@@ -56,7 +57,7 @@
 func (d *door) begin() {
 	k := &d.lists
 	k.words, k.whole, k.told, k.byID = map[string]map[string]decision.BackendState{}, map[string]map[string]bool{}, map[string]time.Duration{}, map[decision.BackendID]string{}
-	k.starts = map[string]time.Duration{}
+	k.starts, k.arrived = map[string]time.Duration{}, map[string]time.Duration{}
 	var origins []membership.Origin
 	if d.r.shape.catalogue {
 		origins = append(origins, membership.Origin{Name: catalogue})
@@ -185,9 +186,31 @@
 		if words[source] = n.State; n.State == decision.Gone {
 			delete(words, source)
 		}
-		_, known := k.told[n.Name]
-		if !known && n.State == decision.Draining {
-			k.told[n.Name] = d.w.now
+		arrived, came := k.arrived[n.Name]
+		if !came {
+			arrived = d.w.now
+		}
+		if _, known := k.told[n.Name]; !known && n.State == decision.Draining {
+			k.told[n.Name] = arrived
+		}
+		if n.State == decision.Draining || !d.draining(n.Name) { // it is read, or what was said since is
+			delete(k.arrived, n.Name)
+		}
+	}
+}
+
+// arrives notes for the rules that a process has been told that a node drains, whether or not it has read that: it may stand still.
+func (d *door) arrives(name string) {
+	if _, known := d.lists.arrived[name]; !known && d.w.now < d.paused {
+		d.lists.arrived[name] = d.w.now
+	}
+}
+
+// comes is arrives, of an answer on health.
+func (d *door) comes(entries []registry.Entry) {
+	for _, e := range entries {
+		if name := e.Meta["name"]; e.Checks[0].Status != "passing" && (d.lists.whole[catalogue] == nil || d.lists.whole[catalogue][name]) {
+			d.arrives(name)
 		}
 	}
 }
@@ -256,7 +279,12 @@
 	n := b.node()
 	for _, d := range r.doors {
 		if epoch := d.epoch; r.shape.discovery && d.up {
-			r.at(d.lateness(), func() { d.in(epoch, discovery, func() { d.pushed(membership.List{Nodes: []membership.Node{n}}) }) })
+			r.at(d.lateness(), func() {
+				if epoch == d.epoch && n.State == decision.Draining {
+					d.arrives(n.Name)
+				}
+				d.in(epoch, discovery, func() { d.pushed(membership.List{Nodes: []membership.Node{n}}) })
+			})
 		}
 	}
 	r.agent.change()
@@ -275,10 +303,15 @@
 
 // watch is a door's watch of the catalogue: two blocking queries, for health and for what exists, that fill one book.
 type watch struct {
-	d     *door
-	epoch int
-	book  *registry.Book
-	loops [2]*blocking.Loop // of health, of the catalogue
+	d      *door
+	epoch  int
+	book   *registry.Book
+	loops  [2]*blocking.Loop // of health, of the catalogue
+	asked  [2]int            // how often each was asked
+	failed [2]time.Duration  // since when it fails; 0: it does not
+	wanted [2][]func()       // wait for the end of a question that is asked from now on
+	again  [2]bool           // the next one is
+	came   [2]int            // the last question whose answer has arrived
 }
 
 var (
@@ -291,16 +324,35 @@
 func (s *watch) ask(i int) {
 	d, loop := s.d, s.loops[i]
 	q := loop.Next()
+	s.asked[i]++
+	number := s.asked[i] // a later one takes its place
 	d.w.at(q.At, func() {
 		d.in(s.epoch, s, func() {
+			if s.asked[i] != number {
+				return
+			}
 			loop.Asked(d.w.now)
-			over := false
 			end := func(a blocking.Answer, entries []registry.Entry, err error) {
+				if err == nil && s.asked[i] == number {
+					if s.came[i] = number; i == 0 {
+						d.comes(entries)
+					}
+				}
 				d.in(s.epoch, s, func() {
-					if !over {
-						over = true
+					if s.asked[i] == number {
 						s.answered(i, a, entries, err)
+						wanted := s.wanted[i]
+						if s.again[i] { // it was asked before they wanted it
+							s.loops[i].Refresh(d.w.now)
+							wanted = nil
+						} else {
+							s.wanted[i] = nil
+						}
+						s.again[i] = false
 						s.ask(i)
+						for _, w := range wanted {
+							w()
+						}
 					}
 				})
 			}
@@ -310,10 +362,37 @@
 	})
 }
 
+// catchUp asks anew, and has done called when that has an end. What failed since before a time is not waited for.
+func (s *watch) catchUp(since time.Duration, done func()) {
+	left := 1
+	end := func() {
+		if left--; left == 0 {
+			done()
+		}
+	}
+	for i := range s.loops {
+		if s.failed[i] > 0 && s.failed[i] < since {
+			continue
+		}
+		left++
+		s.wanted[i] = append(s.wanted[i], end)
+		if s.came[i] == s.asked[i] { // what has come is told, whatever becomes of the next question
+			s.again[i] = true
+			continue
+		}
+		s.loops[i].Refresh(s.d.w.now)
+		s.ask(i)
+	}
+	end()
+}
+
 // answered takes in what came of a question.
 func (s *watch) answered(i int, a blocking.Answer, entries []registry.Entry, err error) {
 	d, now, health := s.d, day(s.d.w.now), i == 0
 	tell := func(anew bool) {
+		if l := s.book.Drains(); len(l.Nodes) > 0 {
+			d.heard(catalogue, l)
+		}
 		if l, ok := s.book.List(now); ok {
 			l.Anew = anew
 			d.heard(catalogue, l)
@@ -321,6 +400,7 @@
 	}
 	if err != nil {
 		s.loops[i].Failed(d.w.now)
+		s.failed[i] = cmp.Or(s.failed[i], d.w.now)
 		switch {
 		case health:
 			d.heard(catalogue, membership.List{Failed: err})
@@ -330,6 +410,7 @@
 		return
 	}
 	v := s.loops[i].Answered(d.w.now, a)
+	s.failed[i] = 0
 	switch {
 	case health:
 		d.raw(entries, v.Whole)
--- a/internal/unread/unread.go
+++ b/internal/unread/unread.go
@@ -18,6 +18,7 @@
 	mu    sync.Mutex // held while the system is asked, so that nothing is read and not yet told
 	empty bool       // its reader has found nothing, and waits
 	ended bool
+	got   uint64 // bytes that were read
 }
 
 // New makes one of a connection. tell may be nil; it is called without a lock, by the reading goroutine.
@@ -44,6 +45,7 @@
 			}
 		}
 		c.empty = failed == syscall.EAGAIN
+		c.got += uint64(max(0, n))
 		empty := c.empty
 		c.mu.Unlock()
 		if empty && c.tell != nil {
@@ -90,3 +92,10 @@
 	})
 	return err == nil && nothing
 }
+
+// Got is how many bytes have been read.
+func (c *Conn) Got() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.got
+}
