A restart hands nobody a fresh burst: who owes is kept, and nothing known is nothing left

Seen: six doors killed at once and back a second later; four customers at five times their plans were served 149 requests in the two seconds after it, where 37 to 41 are their steady figure and 32 their plan (lines: decision/store.go, 'c.store = c.capacity()' of a customer met first). Ruled out: the time away alone, which gives 16. Change: Settings.StartSpent: customers met first count as having used up all of their bursts but what is never given away, as of the start. 'pumicecroft state DIR' tells what would become of it.

--- a/cmd/pumicecroft/commands_test.go
+++ b/cmd/pumicecroft/commands_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"pumicecroft/internal/kept"
 	"pumicecroft/internal/platform"
 	"pumicecroft/internal/standin"
 )
@@ -300,3 +301,41 @@
 		t.Error("--log-level error says warnings, or no errors")
 	}
 }
+
+// What a door would begin with is told by kind, with its age and what becomes of it, and nothing is believed that another door kept.
+func TestState(t *testing.T) {
+	dir := t.TempDir()
+	tell := func(args ...string) string {
+		t.Helper()
+		var out bytes.Buffer
+		if err := run(t.Context(), append([]string{"state", dir}, args...), &out); err != nil {
+			t.Fatal(err)
+		}
+		return out.String()
+	}
+	if got := tell(); !strings.Contains(got, "nothing is known") {
+		t.Errorf("of an empty directory: %s", got)
+	}
+	text := "listen = \"127.0.0.1:0\"\nstate_dir = \"" + dir + "\"\n[door]\nnumber = 1\nof = %d\n[[class]]\nname = \"look\"\n[[plan]]\nname = \"shop\"\nrate = 1\nburst = 5\n[[backend]]\nname = \"b\"\naddress = \"127.0.0.1:1\"\n"
+	path := file(t, fmt.Sprintf(text, 2))
+	cmd, _, _ := serving(t, path)
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if got := tell("--file", path); !strings.Contains(got, "door 1") || !strings.Contains(got, "it is young, and others may owe") {
+		t.Errorf("of the door that kept it: %s", got)
+	}
+	if got := tell("--file", file(t, fmt.Sprintf(text, 3))); !strings.Contains(got, "another door's: door 1 of 2, this is door 1 of 3") {
+		t.Errorf("of another count of doors: %s", got)
+	}
+	if got := tell("--file", file(t, strings.Replace(fmt.Sprintf(text, 2), "rate = 1", "rate = 2", 1))); !strings.Contains(got, "other settings") {
+		t.Errorf("under other settings: %s", got)
+	}
+	if err := os.WriteFile(kept.Path(dir, 1), []byte("noise"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got := tell(); !strings.Contains(got, "not believed: it is torn") {
+		t.Errorf("of noise: %s", got)
+	}
+}
--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -58,6 +58,7 @@
 	Check   checkCommand   `cmd:"" help:"Check an operator's file, and name key and line of each error."`
 	Routes  routesCommand  `cmd:"" help:"Print what would become of a request, and why. Nothing is sent."`
 	Members membersCommand `cmd:"" help:"Print what the door that serves by a file believes of each backend, and why."`
+	State   stateCommand   `cmd:"" help:"Print what a door would begin with, how old it is, and what becomes of it."`
 	Demo    demoCommand    `cmd:"" help:"Run a whole deployment on loopback for a short while."`
 	Sim     simCommand     `cmd:"" help:"Run doors in worlds that seeds decide, held to the five rules."`
 	Load    loadCommand    `cmd:"" help:"Ask a door or a backend in open loop, and measure."`
--- /dev/null
+++ b/cmd/pumicecroft/state.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"net/url"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"pumicecroft/internal/kept"
+	"pumicecroft/internal/prepared"
+	"pumicecroft/recovery"
+)
+
+type stateCommand struct {
+	Dir  string `arg:"" help:"A door's directory for state (state_dir)."`
+	File string `placeholder:"FILE" help:"An operator's file: say what the door that serves by it would make of what is kept."`
+}
+
+// Run prints what a door would begin with.
+func (c *stateCommand) Run(out io.Writer) error {
+	found, err := kept.List(c.Dir)
+	if err != nil {
+		return err
+	}
+	lists, err := filepath.Glob(filepath.Join(c.Dir, "*.members"))
+	if err != nil {
+		return err
+	}
+	var door *recovery.Door
+	if c.File != "" {
+		f, err := fileArg{c.File}.read()
+		if err != nil {
+			return err
+		}
+		set := f.Door.Settings
+		door = &recovery.Door{Number: set.Me, Of: set.FrontDoors, Settings: recovery.Digest(set), Plans: set.Plans}
+		if found[door.Number] == "" {
+			found[door.Number] = kept.Path(c.Dir, door.Number)
+		}
+	}
+	now := time.Now()
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "KIND\tOF\tAGE\tHOLDS\tWHAT BECOMES OF IT")
+	for _, n := range slices.Sorted(maps.Keys(found)) {
+		if door == nil || n == door.Number {
+			tellDecisions(w, found[n], n, door, now)
+		}
+	}
+	for _, path := range lists {
+		source, err := url.PathUnescape(strings.TrimSuffix(filepath.Base(path), ".members"))
+		if err != nil {
+			source = filepath.Base(path)
+		}
+		nodes, at, err := prepared.Read(c.Dir, source)
+		if err != nil {
+			fmt.Fprintf(w, "members\t%s\t-\t-\tnot believed: %v\n", source, err)
+			continue
+		}
+		fmt.Fprintf(w, "members\t%s\t%v\t%d nodes\tbelieved until the source is heard; who has come since counts as cold\n", source, now.Sub(at).Round(time.Second), len(nodes))
+	}
+	if len(found)+len(lists) == 0 {
+		fmt.Fprintf(w, "-\t-\t-\tnothing\t%s\n", recovery.Nothing(nil).Why)
+	}
+	return w.Flush()
+}
+
+// tellDecisions tells of one snapshot, to the door that would begin with it if one is named.
+func tellDecisions(w io.Writer, path string, number int, door *recovery.Door, now time.Time) {
+	tell := func(s *recovery.Snapshot, b recovery.Beginning) {
+		age, holds, becomes := "-", "-", b.Why
+		if s != nil {
+			age, holds = now.Sub(s.At).Round(time.Millisecond).String(), fmt.Sprintf("%d customers that owe", len(s.Customers))
+		}
+		if b.Err != nil {
+			becomes = fmt.Sprintf("not believed: %v; %s", b.Err, b.Why)
+		} else if door != nil {
+			becomes = fmt.Sprintf("%d go on owing, %d owe nothing by now; %s", len(b.Customers), b.Repaid, b.Why)
+		}
+		fmt.Fprintf(w, "decisions\tdoor %d\t%s\t%s\t%s\n", number, age, holds, becomes)
+	}
+	text, err := kept.Read(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		tell(nil, recovery.Nothing(errors.New("nothing was kept")))
+		return
+	}
+	if err != nil {
+		tell(nil, recovery.Nothing(err))
+		return
+	}
+	s, err := recovery.Decode(text)
+	switch {
+	case err != nil:
+		tell(nil, recovery.Nothing(err))
+	case door != nil:
+		tell(s, recovery.Begin(s, *door, now))
+	default:
+		tell(s, recovery.Begin(s, recovery.Door{Number: s.Door, Of: s.Of, Settings: s.Settings}, now))
+	}
+}
--- a/config.go
+++ b/config.go
@@ -27,8 +27,10 @@
 	Known membership.List
 	// Membership says how the reports of several sources are weighed.
 	Membership membership.Rules
-	// StateDir is a directory that outlives the process, for lists of members: what sources that are not plain have
-	// told is kept there, and is what a Door begins with until they are heard. Empty: nothing is kept.
+	// StateDir is a directory that outlives the process. Lists of members are kept there, what sources that are not plain have told, and
+	// are what a Door begins with until they are heard; and, each second, which customers owe or are held down, so that a restart
+	// gives nobody a fresh burst (package recovery; of whom nothing is known has used up its burst: Settings.StartSpent is set by what is
+	// found there). Empty: nothing is kept, and Settings.StartSpent stays as it is.
 	StateDir string
 
 	// Protocol is what backends speak of whom no source says it: ProtocolHTTP of package membership if it is empty.
--- a/consul/source_test.go
+++ b/consul/source_test.go
@@ -369,7 +369,7 @@
 			}
 		}
 	}
-	if left, _ := filepath.Glob(filepath.Join(dir, "*")); len(left) != 1 {
+	if left, _ := filepath.Glob(filepath.Join(dir, "*")); len(left) != 3 { // and the door's decisions, with their lock
 		t.Errorf("kept: %q", left)
 	}
 }
--- a/decision/api.go
+++ b/decision/api.go
@@ -96,6 +96,9 @@
 	WarmWithin    time.Duration // how long until it has all of it
 	FallMultiple  float64       // sent more than this multiple of its present capacity
 	FallFor       time.Duration // for this long, a cold backend falls over
+	// StartSpent has a gateway take customers that it meets first to have used up their bursts just before it started, all but what it
+	// never gives away: before a restart they may have. Else it takes them to have used nothing.
+	StartSpent bool
 	// SharedCounter says that Count may be asked for: a counter of all front doors.
 	SharedCounter bool
 }
--- a/decision/store.go
+++ b/decision/store.go
@@ -15,7 +15,9 @@
 		offset := ((g.set.Me-ev.FirstDoor)%g.set.FrontDoors + g.set.FrontDoors) % g.set.FrontDoors
 		c = &customer{plan: plan, doors: float64(doors), member: offset < doors, pass: 1, storeAt: g.now,
 			ceilAt: g.boot, period: g.set.MeterPeriod.Seconds(), decay: 1 - (1-shareDecay)*min(1, shareDoors/float64(doors))}
-		c.store = c.capacity()
+		if c.store = c.capacity(); g.set.StartSpent {
+			c.store = min(c.store, margin*c.store+100*(g.now-g.boot).Seconds())
+		}
 		if g.set.SharedCounter && plan.CeilingRate > 0 && c.member && doors > 1 {
 			c.pool = quota.NewPool(uint64(ev.Customer), plan.Name, plan.CeilingBurst, doors, g.set.LargestUnits)
 		}
--- a/door.go
+++ b/door.go
@@ -32,6 +32,7 @@
 	"pumicecroft/internal/keyed"
 	"pumicecroft/keys"
 	"pumicecroft/membership"
+	"pumicecroft/recovery"
 
 	"golang.org/x/time/rate"
 )
@@ -128,9 +129,8 @@
 func New(config Config, options ...Option) (*Door, error) { return newDoor(config, nil, options) }
 
 // newDoor takes a decision module in place of the one that ships.
-func newDoor(config Config, decider core.Decider, options []Option) (*Door, error) {
-	config, err := config.withDefaults()
-	if err != nil {
+func newDoor(config Config, decider core.Decider, options []Option) (_ *Door, err error) {
+	if config, err = config.withDefaults(); err != nil {
 		return nil, err
 	}
 	if config.Seed == 0 {
@@ -160,10 +160,26 @@
 	}
 	clock := drive.NewClock()
 	set.SharedCounter = set.SharedCounter && d.counter != nil
+	var state *decisions
 	if decider == nil {
-		if decider, err = decision.New(set, config.Seed, clock.Now()); err != nil {
+		var begin recovery.Beginning
+		if config.StateDir != "" {
+			state, begin = d.beginning(rand.Uint64())
+			set.StartSpent = begin.Spent
+			defer func() {
+				if err != nil && state.file != nil {
+					state.file.Close()
+				}
+			}()
+		}
+		gateway, err := decision.New(set, config.Seed, clock.Now())
+		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrConfig, err)
 		}
+		if decider = gateway; state != nil {
+			state.gateway = gateway
+			gateway.Restore(clock.Now(), begin.Customers)
+		}
 	}
 	d.protocols[membership.ProtocolHTTP] = httpback.New(httpback.Config{Conns: config.BackendConns, Idle: config.IdleTimeout,
 		Connect: config.ConnectTimeout, LoadColumns: set.LoadColumns, Log: d.log, Dial: d.dial})
@@ -200,6 +216,9 @@
 	d.update.Unlock()
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
+	if state != nil && state.file != nil {
+		d.ran.Go(func() { state.run(ctx) })
+	}
 	if config.StateDir != "" {
 		for _, o := range origins {
 			if !o.Plain {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -270,6 +270,13 @@
 	d.carryOut(event(d.clock.Now()))
 }
 
+// Look lets what the decisions rest on be read, while nothing happens. It must not wait.
+func (d *Driver) Look(read func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	read()
+}
+
 // List passes on news of the backends.
 func (d *Driver) List(list decision.BackendList) {
 	d.step(func(now time.Duration) []core.Effect { return d.core.List(now, list) })
--- /dev/null
+++ b/internal/kept/kept_test.go
@@ -0,0 +1,71 @@
+package kept
+
+import (
+	"errors"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// A file is one process's, is whole whatever fails, and is found again.
+func TestFile(t *testing.T) {
+	dir := t.TempDir()
+	f, err := Open(dir, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Read(); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("nothing was written: %v", err)
+	}
+	for _, text := range []string{"one", "two"} {
+		if err := f.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := f.Read(); string(got) != text || err != nil {
+			t.Errorf("%q, %v", got, err)
+		}
+	}
+	if _, err := Open(dir, 3); !errors.Is(err, ErrTaken) {
+		t.Errorf("a second one: %v", err)
+	}
+	other, err := Open(dir, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if f, err = Open(dir, 3); err != nil {
+		t.Fatalf("after the first has ended: %v", err)
+	}
+	defer f.Close()
+	if got, err := f.Read(); string(got) != "two" || err != nil {
+		t.Errorf("%q, %v", got, err)
+	}
+	if found, err := List(dir); err != nil || !maps.Equal(found, map[int]string{3: Path(dir, 3)}) {
+		t.Errorf("%v, %v", found, err)
+	}
+	// Its place can't be taken: what is there stays, and nothing is left behind.
+	path := Path(dir, 4)
+	if err := os.MkdirAll(filepath.Join(path, "in the way"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := other.Write([]byte("x")); err == nil {
+		t.Error("a directory was written over")
+	}
+	if left, _ := filepath.Glob(filepath.Join(dir, ".decisions-*")); len(left) > 0 {
+		t.Errorf("left behind: %v", left)
+	}
+	if _, err := Open(filepath.Join(dir, "none"), 0); err == nil {
+		t.Error("a directory that is not there was taken")
+	}
+	if err := os.Truncate(Path(dir, 3), MaxFile+1); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Read(); err == nil {
+		t.Error("a file over the bound was read")
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -131,6 +131,7 @@
 	set.FallMultiple = s.Number("fall_multiple", 0, 0, 1000)
 	set.FallFor = s.Duration("fall_for", 0, 0, time.Hour)
 	set.AnswerGrace = s.Duration("answer_grace", 0, 0, time.Minute)
+	set.StartSpent = s.Yes("start_spent", false)
 	set.DrainGrace = s.Duration("drain_grace", 2*time.Second, 0, time.Hour)
 	c.Protocol = protocol(s, membership.ProtocolHTTP)
 	c.MaxOpen = s.Whole("max_open", 4096, 1, many)
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -7,6 +7,7 @@
 package rig
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -21,6 +22,8 @@
 	"syscall"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"pumicecroft/internal/load"
 	"pumicecroft/internal/platform"
 	"pumicecroft/internal/standin"
@@ -45,6 +48,8 @@
 	MaxRetryAfter    time.Duration
 	Aim, Deadline    time.Duration
 	Descriptors, MiB int
+	Keeps            bool // doors serve by an operator's file, and keep their state in a directory each
+	Of               int  // doors that each is told of; 0: Doors
 }
 
 // Door is one door of a fleet.
@@ -54,6 +59,7 @@
 	Site    int
 	Addr    string // where its clients reach it; the same for each of its processes
 	Config  string // its file
+	State   string // its directory for state; empty: it has none
 	Process *Process
 	Agent   *standin.Discovery
 	Watch   *Relay   // to its agent; nil if nothing is relayed
@@ -69,16 +75,25 @@
 	Ledger   *standin.Ledger
 	Counter  *standin.Counter
 	Meter    *standin.Meter
-	begun    time.Time
+	// Meanwhile is done while doors that were killed are away, before they are back.
+	Meanwhile func(f *Fleet) error
+	begun     time.Time
+	playedAt  time.Time // when Play began
+
+	mu      sync.Mutex
+	trace   []string
+	told    map[string]time.Time // since when a backend has been told to drain, or to be gone, by name
+	drained []drained            // those that are over
+	in      map[int]bool         // doors that clients are sent to
+	back    time.Time            // when the last process that was started had its first client
+	ends    []load.End
+	closers []func()
+}
 
-	mu       sync.Mutex
-	trace    []string
-	told     map[string]time.Time // since when a backend has been told to drain, or to be gone, by name
-	in       map[int]bool         // doors that clients are sent to
-	back     map[int]bool         // those whose process has started again
-	ends     []load.End
-	restarts int
-	closers  []func()
+// drained is a time in which a backend was told to drain.
+type drained struct {
+	backend  string
+	from, to time.Time
 }
 
 // New puts a deployment together, and starts no door.
@@ -229,6 +244,38 @@
 			"obligations":   object{"grace_to_answer_us": 50_000, "stop_sending_within_us": us(Grace), "cold_from": 0.2, "warm_within_us": us(s.Warm), "fall_multiple": 4, "fall_us": 1_000_000}}}, "", " ")
 }
 
+// file is a door's file as an operator writes it.
+func (f *Fleet) file(d *Door, of int) ([]byte, error) {
+	s := f.Shape
+	if d.State == "" {
+		d.State = filepath.Join(s.Dir, "state-"+d.Name)
+	}
+	discovery := d.Agent.Addr()
+	if d.Watch != nil {
+		discovery = d.Watch.Addr()
+	}
+	type object = map[string]any
+	class := func(name, effect string, worth float64) object {
+		c := object{"name": name, "effect": effect, "aim": s.Aim.String(), "deadline": s.Deadline.String(), "worth": worth}
+		if effect == "keyed" {
+			c["group"], c["key_window"] = "cell", "5s"
+		}
+		return c
+	}
+	plans := []object{{"name": "shop", "rate": s.Rate, "burst": s.Burst, "price": 1.0}, {"name": "big", "price": 1.0}}
+	if s.Ceiling > 0 {
+		plans = append(plans, object{"name": "flagship", "rate": s.Ceiling, "burst": 2 * s.Ceiling, "price": 2.0, "ceiling_rate": s.Ceiling, "ceiling_burst": 2 * s.Ceiling,
+			"ceiling_slack": s.Ceiling / 4})
+	}
+	door := object{"number": d.Number, "of": of, "max_retry_after": s.MaxRetryAfter.String(), "largest_units": 1.0, "drain_grace": Grace.String(), "warm_within": s.Warm.String(),
+		"fall_multiple": 4.0, "fall_for": "1s"}
+	if f.Meter != nil {
+		door["meter_period"] = "500ms"
+	}
+	return toml.Marshal(object{"listen": d.Addr, "state_dir": d.State, "sources": []string{"discovery"}, "door": door, "discovery": object{"address": discovery},
+		"class": []object{class("look", "safe", 1), class("pay", "keyed", 5)}, "plan": plans})
+}
+
 // Grace is how long sends to a draining backend may go on after its door was told, and Slack what sockets add to it.
 const (
 	Grace = 2 * time.Second
@@ -249,22 +296,32 @@
 }
 
 func (f *Fleet) start(d *Door) error {
-	text, err := f.config(d, f.Shape.Doors)
+	of := cmp.Or(f.Shape.Of, f.Shape.Doors)
+	write, args, env := f.config, []string(nil), []string(nil)
+	if f.Shape.Keeps {
+		write = f.file
+	}
+	text, err := write(d, of)
 	if err != nil {
 		return err
 	}
-	d.Config = filepath.Join(f.Shape.Dir, d.Name+".json")
-	if err := os.WriteFile(d.Config, text, 0o600); err != nil {
+	if d.Config = filepath.Join(f.Shape.Dir, d.Name+".conf"); f.Shape.Keeps {
+		args = []string{"serve", d.Config}
+		err = os.MkdirAll(d.State, 0o700)
+	} else {
+		env = []string{"NODE_CONFIG=" + d.Config}
+	}
+	if err := errors.Join(err, os.WriteFile(d.Config, text, 0o600)); err != nil {
 		return err
 	}
-	p, err := start([]string{"NODE_CONFIG=" + d.Config})
+	p, err := start(env, args...)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
 	d.Process = p
 	f.mu.Unlock()
-	if _, err := p.Await(" serving "); err != nil {
+	if _, err := p.Await("listen=" + d.Addr); err != nil {
 		return fmt.Errorf("%s: %w", d.Name, err)
 	}
 	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -279,9 +336,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.in[d.Number] = true
+	f.back = time.Now()
 	return nil
 }
 
+// backAt is when the last door came back.
+func (f *Fleet) backAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.back
+}
+
 // Kill kills doors in one moment.
 func (f *Fleet) Kill(doors ...*Door) {
 	f.out(doors...)
@@ -305,8 +370,12 @@
 func (f *Fleet) Tell(health string, backends ...int) {
 	f.mu.Lock()
 	for _, i := range backends {
-		if name := backendName(i); health == "Ready" {
+		name := backendName(i)
+		if from, known := f.told[name]; known && health == "Ready" {
+			f.drained = append(f.drained, drained{name, from, time.Now()})
 			delete(f.told, name)
+		} else if health == "Ready" {
+			continue
 		} else if _, known := f.told[name]; !known {
 			f.told[name] = time.Now().Add(Slack) // until the last agent has told it
 		}
@@ -345,16 +414,18 @@
 	return strings.Join(f.trace, "\n")
 }
 
-// Stale are the attempts that reached backends later than the grace after their drain was told.
+// Stale are the attempts that reached backends later than the grace after their drain was told, and before it was over.
 func (f *Fleet) Stale() (out []standin.Attempt) {
 	f.mu.Lock()
-	told := make(map[string]time.Time, len(f.told))
-	for name, at := range f.told {
-		told[name] = at
+	all := slices.Clone(f.drained)
+	for name, from := range f.told {
+		all = append(all, drained{name, from, time.Now()})
 	}
 	f.mu.Unlock()
 	for _, a := range f.Ledger.Attempts() {
-		if at, out2 := told[a.Backend]; out2 && a.At.After(at.Add(Grace+Slack)) {
+		if slices.ContainsFunc(all, func(d drained) bool {
+			return d.backend == a.Backend && a.At.After(d.from.Add(Grace+Slack)) && a.At.Before(d.to)
+		}) {
 			out = append(out, a)
 		}
 	}
--- /dev/null
+++ b/internal/rig/fresh_test.go
@@ -0,0 +1,71 @@
+package rig
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"pumicecroft/internal/load"
+)
+
+// All doors are killed in one moment and come back, with what they kept, without it, with an old copy of it, or where it can't be used. Those
+// who ask for far more than their plans get no fresh burst for that, and those within theirs are served as before from the second second on.
+func TestARestartGivesNoFreshAllowance(t *testing.T) {
+	const (
+		steady       = 4 * time.Second
+		away         = time.Second
+		floods       = 4
+		rate         = 4.0
+		doors        = 4
+		lastOfSteady = 2 * time.Second
+	)
+	for name, meanwhile := range map[string]func(f *Fleet) error{
+		"with what they kept": nil,
+		"with nothing":        func(f *Fleet) error { return eachState(f, os.RemoveAll) },
+		"torn": func(f *Fleet) error {
+			return eachState(f, func(dir string) error {
+				return filepath.WalkDir(dir, func(path string, e fs.DirEntry, err error) error {
+					if err == nil && filepath.Ext(path) == ".decisions" {
+						err = os.Truncate(path, 40)
+					}
+					return err
+				})
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := deploy(t, Shape{Doors: doors, Backends: 4, Work: 5 * time.Millisecond, Slots: 4, Queue: 32, Rate: rate, Burst: 24, Meter: true, Keeps: true})
+			f.Meanwhile = meanwhile
+			playing(t, f, Script{{At: steady, For: away, Do: Kill, Doors: Numbers(0, doors)}}, 4*time.Second,
+				Asking{Name: "floods", Plan: "shop", Class: "look", Rate: floods * rate * 5, Customers: floods},
+				Asking{Name: "within", Plan: "shop", Class: "look", Rate: 20 * rate * 0.5, Customers: 20, First: 100})
+			served := func(from time.Time, d time.Duration, within bool) (good, asked float64) {
+				ends := f.Ends(from, from.Add(d), func(e load.End) bool { return e.Shot.Customer >= 100 == within })
+				return float64(Good(ends)), float64(len(ends))
+			}
+			before, _ := served(f.playedAt.Add(steady-lastOfSteady), lastOfSteady, false)
+			after, _ := served(f.backAt(), 2*time.Second, false)
+			plan := floods * rate * 2
+			t.Logf("floods: %.0f in two seconds before, %.0f in the two after, their plan is %.0f and %.0f for the time away", before, after, plan, floods*rate*away.Seconds())
+			// What their plans give while no door is there is theirs; the burst is 96 for all of them.
+			if most := 1.25*max(before, plan) + floods*rate*away.Seconds(); after > most {
+				t.Errorf("%.0f were served in the two seconds after the return, more than %.0f", after, most)
+			}
+			good, asked := served(f.backAt().Add(time.Second), 3*time.Second, true)
+			if good < 0.95*asked {
+				t.Errorf("%.0f of %.0f within their plans are served from the second second on", good, asked)
+			}
+		})
+	}
+}
+
+func eachState(f *Fleet, do func(dir string) error) error {
+	for _, d := range f.Doors {
+		if err := do(d.State); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -24,6 +24,7 @@
 	Die     Act = "die"     // backends die, and are back cold after For
 	Deaf    Act = "deaf"    // agents of doors are silent, for For
 	Unheard Act = "unheard" // what agents of doors say does not arrive, for For
+	Broken  Act = "broken"  // the watches of doors are reset
 	Cut     Act = "cut"     // nothing passes between doors and backends, for For
 	Reset   Act = "reset"   // the connections between doors and backends are reset
 	Emptied Act = "emptied" // the counter loses all that it holds
@@ -86,6 +87,7 @@
 	}
 	slices.SortStableFunc(events, func(a, b event) int { return int(a.at - b.at) })
 	start := time.Now()
+	f.playedAt = start
 	for _, e := range events {
 		select {
 		case <-time.After(time.Until(start.Add(e.at))):
@@ -119,7 +121,12 @@
 	case Stop:
 		return each(func(d *Door) error { return d.Process.Stop() }), plain(func(d *Door) { d.Process.Go() })
 	case Kill:
-		return func() error { f.Kill(doors...); return nil }, func() error { return f.Start(doors...) }
+		return func() error {
+			if f.Kill(doors...); f.Meanwhile != nil {
+				return f.Meanwhile(f)
+			}
+			return nil
+		}, func() error { return f.Start(doors...) }
 	case Term:
 		return func() error {
 			f.out(doors...)
@@ -156,6 +163,8 @@
 		return plain(func(d *Door) { d.Agent.SetDown(true) }), plain(func(d *Door) { d.Agent.SetDown(false) })
 	case Unheard:
 		return plain(func(d *Door) { d.Watch.Stall(Both) }), plain(func(d *Door) { d.Watch.Heal() })
+	case Broken:
+		return plain(func(d *Door) { d.Watch.Reset() }), nil
 	case Cut, Reset:
 		pairs := func(do func(*Relay)) func() error {
 			return plain(func(d *Door) {
