--- /dev/null
+++ b/recovery/fleet_test.go
@@ -0,0 +1,184 @@
+package recovery
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pumicecroft/decision"
+)
+
+// restarts is a fleet of decision modules whose processes are killed and start again, with a meter that tells what customers used over all
+// doors in the last half second, as the platform's does.
+type restarts struct {
+	t     *rapid.T
+	rng   *rand.Rand
+	set   decision.Settings
+	doors []*process
+	now   time.Duration
+	id    decision.RequestID
+	meter map[decision.CustomerID]*[2]float64 // of this period and the last one
+	most  float64                             // of the plan's rate, that anybody used in a period
+}
+
+type process struct {
+	g     *decision.Gateway
+	until time.Duration // it is away until then
+	kept  *Snapshot
+	spent bool
+	began time.Duration
+}
+
+const period = 500 * time.Millisecond
+
+func (f *restarts) boot(d *process, me int) {
+	set := f.set
+	set.Me, set.StartSpent = me, true
+	b := Nothing(nil)
+	if d.kept != nil {
+		b = Begin(d.kept, Door{Number: me, Of: set.FrontDoors, Plans: set.Plans}, time.Unix(0, 0).Add(f.now))
+		set.StartSpent = b.Spent
+	}
+	g, err := decision.New(set, f.rng.Uint64(), f.now)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	g.Restore(f.now, b.Customers)
+	g.Handle(f.now, decision.BackendList{Kind: decision.ListFull, Backends: []decision.BackendInfo{{ID: 1}}}, nil)
+	d.g, d.spent, d.began = g, set.StartSpent, f.now
+}
+
+func (f *restarts) keep(d *process, me int) {
+	debtors := NewDebtors(f.set.Plans, MostCustomers)
+	d.g.Handle(f.now, decision.Timer{Token: 1 << 40}, nil) // its clock
+	for c, owes := range d.g.Customers() {
+		if owes {
+			debtors.Add(c)
+		}
+	}
+	s := &Snapshot{Door: me, Of: f.set.FrontDoors, At: time.Unix(0, 0).Add(f.now)}
+	s.Customers, s.Whole = debtors.All()
+	s.Whole = s.Whole && (!d.spent || f.now-d.began >= Refilled(f.set.Plans))
+	d.kept = s
+}
+
+// ask asks at a door and tells whether it was sent on; it is answered at once, with the meter's word.
+func (f *restarts) ask(d *process, c decision.CustomerID) bool {
+	f.id++
+	sent := false
+	for _, a := range d.g.Handle(f.now, decision.Request{ID: f.id, Customer: c, Class: "look", Plan: "shop", Units: 1, Patience: time.Second, Spread: len(f.doors)}, nil) {
+		_, ok := a.(decision.Send)
+		sent = sent || ok
+	}
+	if !sent {
+		return false
+	}
+	m := f.meter[c]
+	if m == nil {
+		m = &[2]float64{}
+		f.meter[c] = m
+	}
+	m[0]++
+	d.g.Handle(f.now, decision.Outcome{Request: f.id, Backend: 1, Result: decision.Answered, Took: time.Millisecond, Final: true, HasUse: true,
+		Use: 100 * m[1] / (f.set.Plans[0].Rate * period.Seconds())}, nil)
+	return true
+}
+
+// Whatever is killed when, with what it kept or without, at once or one after another or in a loop: a customer at five times its plan gets
+// at most what the same fleet gives it without kills, or its plan if that is more, one burst however many kills there are (while doors are
+// away it earns what it may use later), and for each kill one unit and what it used at that door in the second before. Those at half of their plans are served nearly all from a second after the last kill on.
+func TestNoPatternOfRestartsHandsOutBursts(t *testing.T) {
+	const length, step = 24 * time.Second, 10 * time.Millisecond
+	run := func(t *rapid.T, seed uint64, n int, rate, burst float64, kills map[time.Duration][]int, keeps []bool) (flood, lastSecond float64, honest, asked int, killed int) {
+		f := &restarts{t: t, rng: rand.New(rand.NewPCG(seed, 1)), meter: map[decision.CustomerID]*[2]float64{},
+			set: decision.Settings{FrontDoors: n, MaxAttempts: 1, CanCancel: true, MaxRetryAfter: time.Second, MeterPeriod: period, LargestUnits: 1,
+				Classes: []decision.Class{{Name: "look", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+				Plans:   []decision.Plan{{Name: "shop", Rate: rate, Burst: burst, Price: 1}}}}
+		load := rand.New(rand.NewPCG(seed, 2)) // the same with kills and without
+		for i := range n {
+			d := &process{}
+			f.doors = append(f.doors, d)
+			f.boot(d, i)
+		}
+		last := time.Duration(0)
+		recent := make([][]time.Duration, n) // of the flood's, by door
+		for f.now = 0; f.now < length; f.now += step {
+			if f.now%period == 0 {
+				for _, m := range f.meter {
+					m[1], m[0] = m[0], 0
+				}
+			}
+			for i, d := range f.doors {
+				if d.g == nil && f.now >= d.until {
+					f.boot(d, i)
+				}
+				if d.g != nil && keeps[i] && (f.now+time.Duration(i)*step)%time.Second == 0 {
+					f.keep(d, i)
+				}
+			}
+			for _, i := range kills[f.now] {
+				if d := f.doors[i]; d.g != nil {
+					d.g, d.until, last = nil, f.now+time.Duration(f.rng.Int64N(int64(time.Second))), f.now
+					killed++
+					for _, at := range recent[i] {
+						if f.now-at <= time.Second {
+							lastSecond++
+						}
+					}
+				}
+			}
+			for c, much := range []float64{5, 0.5, 0.5, 0.5} {
+				for p := much * rate * step.Seconds(); load.Float64() < p; p-- {
+					i := load.IntN(n)
+					d := f.doors[i]
+					if d.g == nil {
+						continue
+					}
+					ok := f.ask(d, decision.CustomerID(c))
+					switch {
+					case c == 0 && ok:
+						flood++
+						recent[i] = append(recent[i], f.now)
+					case c > 0 && last > 0 && f.now > last+2*time.Second:
+						asked++
+						if ok {
+							honest++
+						}
+					}
+				}
+			}
+		}
+		return flood, lastSecond, honest, asked, killed
+	}
+	var honest, asked int
+	rapid.Check(t, func(t *rapid.T) {
+		seed, n := rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "doors")
+		rate := rapid.Float64Range(2, 20).Draw(t, "rate")
+		burst := rate * rapid.Float64Range(2, 10).Draw(t, "seconds of burst")
+		kills, keeps := map[time.Duration][]int{}, make([]bool, n)
+		for i := range keeps {
+			keeps[i] = rapid.Bool().Draw(t, "keeps")
+		}
+		at := 3 * time.Second
+		for range rapid.IntRange(0, 8).Draw(t, "kills") {
+			at += time.Duration(rapid.IntRange(0, 300).Draw(t, "after")) * step
+			for i := range n {
+				if rapid.IntRange(0, 2).Draw(t, "killed") > 0 {
+					kills[at] = append(kills[at], i)
+				}
+			}
+		}
+		plain, _, _, _, _ := run(t, seed, n, rate, burst, nil, make([]bool, n))
+		got, lastSecond, h, a, killed := run(t, seed, n, rate, burst, kills, keeps)
+		honest, asked = honest+h, asked+a
+		if most := 1.15*max(plain, rate*length.Seconds()) + burst + float64(killed) + lastSecond; got > most {
+			t.Fatalf("%v served with %d kills, %v without, the plan is %v: more than %v", got, killed, plain, rate*length.Seconds(), most)
+		}
+	})
+	if float64(honest) < 0.95*float64(asked) {
+		t.Errorf("%d of %d within their plans are served", honest, asked)
+	}
+	t.Logf("%d of %d within their plans are served", honest, asked)
+}
