Restarts with an old copy, swapped state and a place that can't be written, by processes

Need: the issue's ways of losing state, each by processes. Change: three cases more, two at a time (eight processes); the door says that it stood still and for how long.

--- a/door.go
+++ b/door.go
@@ -103,7 +103,7 @@
 	counter    drive.Counter // nil: there is none
 	keys       *keyed.Keeper // nil: keys are not recognised
 
-	badLog, lateLog, listLog rate.Sometimes
+	badLog, lateLog, listLog, stoodLog rate.Sometimes
 
 	update  sync.Mutex // changes reach the core in the order in which they reached the backends
 	members *membership.Table
@@ -140,7 +140,7 @@
 		keepers: map[string]*keeper{}, protocols: map[string]drive.Backends{},
 		log:    slog.New(slog.DiscardHandler),
 		badLog: rate.Sometimes{First: 10, Interval: time.Second}, lateLog: rate.Sometimes{First: 10, Interval: time.Second},
-		listLog: rate.Sometimes{First: 10, Interval: time.Second}}
+		listLog: rate.Sometimes{First: 10, Interval: time.Second}, stoodLog: rate.Sometimes{First: 10, Interval: time.Second}}
 	d.mapper = d.PlatformRequest
 	for _, o := range options {
 		o(d)
@@ -291,6 +291,7 @@
 
 // catchUp has all sources that can take in what has arrived, after a standstill.
 func (d *Door) catchUp(ctx context.Context, stood time.Duration) {
+	d.stoodLog.Do(func() { d.log.Info("the door stood still", "for", stood) })
 	var asked sync.WaitGroup
 	since := time.Now().Add(-stood)
 	for _, o := range d.sources {
--- a/internal/rig/fresh_test.go
+++ b/internal/rig/fresh_test.go
@@ -1,13 +1,14 @@
 package rig
 
 import (
-	"io/fs"
+	"errors"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
+	"pumicecroft/internal/kept"
 	"pumicecroft/internal/load"
+	"pumicecroft/recovery"
 )
 
 // All doors are killed in one moment and come back, with what they kept, without it, with an old copy of it, or where it can't be used. Those
@@ -23,19 +24,40 @@
 	)
 	for name, meanwhile := range map[string]func(f *Fleet) error{
 		"with what they kept": nil,
-		"with nothing":        func(f *Fleet) error { return eachState(f, os.RemoveAll) },
+		"with nothing": func(f *Fleet) error {
+			return eachDoor(f, func(d *Door, _ string) error { return os.RemoveAll(d.State) })
+		},
 		"torn": func(f *Fleet) error {
-			return eachState(f, func(dir string) error {
-				return filepath.WalkDir(dir, func(path string, e fs.DirEntry, err error) error {
-					if err == nil && filepath.Ext(path) == ".decisions" {
-						err = os.Truncate(path, 40)
-					}
+			return eachDoor(f, func(d *Door, path string) error { return os.Truncate(path, 40) })
+		},
+		"with yesterday's copy, of when nobody owed": func(f *Fleet) error {
+			return eachDoor(f, func(d *Door, path string) error {
+				text, err := os.ReadFile(path)
+				if err != nil {
+					return err
+				}
+				s, err := recovery.Decode(text)
+				if err != nil {
+					return err
+				}
+				s.At, s.Customers, s.Whole = s.At.Add(-24*time.Hour), nil, true
+				if text, err = recovery.Encode(s); err != nil {
 					return err
-				})
+				}
+				return os.WriteFile(path, text, 0o600)
 			})
 		},
+		"swapped between doors": func(f *Fleet) error {
+			return eachDoor(f, func(d *Door, path string) error {
+				return os.Rename(path, kept.Path(f.Doors[(d.Number+1)%len(f.Doors)].State, d.Number)) // each finds its neighbour's alone
+			})
+		},
+		"where nothing can be kept": func(f *Fleet) error {
+			return eachDoor(f, func(d *Door, path string) error { return errors.Join(os.Remove(path), os.Mkdir(path, 0o700)) })
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel() // two at once: see TestMain
 			f := deploy(t, Shape{Doors: doors, Backends: 4, Work: 5 * time.Millisecond, Slots: 4, Queue: 32, Rate: rate, Burst: 24, Meter: true, Keeps: true})
 			f.Meanwhile = meanwhile
 			playing(t, f, Script{{At: steady, For: away, Do: Kill, Doors: Numbers(0, doors)}}, 4*time.Second,
@@ -61,9 +83,10 @@
 	}
 }
 
-func eachState(f *Fleet, do func(dir string) error) error {
+// eachDoor does something to what each door has kept.
+func eachDoor(f *Fleet, do func(d *Door, path string) error) error {
 	for _, d := range f.Doors {
-		if err := do(d.State); err != nil {
+		if err := do(d, kept.Path(d.State, d.Number)); err != nil {
 			return err
 		}
 	}
--- a/internal/rig/stale_test.go
+++ b/internal/rig/stale_test.go
@@ -13,7 +13,12 @@
 	"pumicecroft/internal/load"
 )
 
+// TestMain has two cases at once at the most, so that no more than eight processes run.
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("test.parallel", "2"); err != nil {
+		panic(err)
+	}
 	code := m.Run()
 	End()
 	os.Exit(code)
@@ -90,6 +95,7 @@
 		"its watch breaks": {{At: 2 * time.Second, Do: Broken, Doors: Numbers(0, 2)}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := deploy(t, Shape{Doors: 4, Backends: 4, Work: 5 * time.Millisecond, Slots: 4, Queue: 32, Relayed: true})
 			playing(t, f, append(Script{
 				{At: 500 * time.Millisecond, For: 3500 * time.Millisecond, Do: Stop, Doors: Numbers(0, 2)},
