An attempt's age costs no further look at the clock

Each attempt looked at the clock twice more, when it was decided and before it left, and on that bench processor time is time. Change: a Start says when it was decided, and httpback looks once for the age and the text.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,6 +104,7 @@
 	Attempt    int
 	Backend    decision.BackendID
 	Due        time.Duration   // of a Start
+	At         time.Duration   // of a Start: when it was decided
 	NotAfter   time.Duration   // of a Start: it must not leave after that; 0: none
 	TimedOut   bool            // of a CallOff: the attempt's time is up
 	Verdict    Verdict         // of a Final
@@ -513,7 +514,7 @@
 		c.held = append(c.held, heldStart{k, n, a.NotAfter})
 		return
 	}
-	c.out = append(c.out, Effect{Kind: Start, Tag: k.tag, Request: k.id, Attempt: n, Backend: a.Backend, Due: t.due, NotAfter: a.NotAfter})
+	c.out = append(c.out, Effect{Kind: Start, Tag: k.tag, Request: k.id, Attempt: n, Backend: a.Backend, Due: t.due, At: c.now, NotAfter: a.NotAfter})
 }
 
 // callOff ends the wait for an attempt, once.
--- a/internal/core/old.go
+++ b/internal/core/old.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		t.held, t.sent = false, c.now
-		c.out = append(c.out, Effect{Kind: Start, Tag: h.call.tag, Request: h.call.id, Attempt: h.attempt, Backend: t.backend, Due: t.due, NotAfter: h.notAfter})
+		c.out = append(c.out, Effect{Kind: Start, Tag: h.call.tag, Request: h.call.id, Attempt: h.attempt, Backend: t.backend, Due: t.due, At: c.now, NotAfter: h.notAfter})
 	}
 	return c.out
 }
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -132,8 +132,10 @@
 
 // TooLate tells whether the attempt must not leave any more: its time is over, or it was decided a while ago and the core says no. A
 // carrier looks right before the first byte leaves, without a lock that CallOff's stop takes.
-func (a *Attempt) TooLate() bool {
-	now := time.Now()
+func (a *Attempt) TooLate() bool { return a.TooLateAt(time.Now()) }
+
+// TooLateAt is TooLate for who has just looked at the clock.
+func (a *Attempt) TooLateAt(now time.Time) bool {
 	if !a.NotAfter.IsZero() && now.After(a.NotAfter) {
 		return true
 	}
@@ -471,7 +473,7 @@
 	if len(k.tries) > 0 {
 		a = &Attempt{}
 	}
-	a.Backend, a.Due, a.Load, a.call, a.number, a.decided = e.Backend, d.clock.At(e.Due), k.load, k, e.Attempt, time.Now()
+	a.Backend, a.Due, a.Load, a.call, a.number, a.decided = e.Backend, d.clock.At(e.Due), k.load, k, e.Attempt, d.clock.At(e.At)
 	if e.NotAfter > 0 {
 		a.NotAfter = d.clock.At(e.NotAfter)
 	}
--- a/internal/httpback/backends.go
+++ b/internal/httpback/backends.go
@@ -173,11 +173,12 @@
 	case httpwire.Write:
 		c := x.Conn.Owner.(*conn)
 		err := a.Wait(func() { c.SetDeadline(time.Unix(1, 0)) })
-		if err == nil && a.TooLate() {
+		now := time.Now()
+		if err == nil && a.TooLateAt(now) {
 			err = httpwire.ErrStale
 		}
 		if err == nil {
-			c.text, err = x.Text(c.text[:0], b.now())
+			c.text, err = x.Text(c.text[:0], now.Sub(b.start))
 		}
 		if err == nil {
 			_, err = c.Write(c.text)
