--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -7,7 +7,6 @@
 package rig
 
 import (
-	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -49,7 +48,6 @@
 	Aim, Deadline    time.Duration
 	Descriptors, MiB int
 	Keeps            bool // doors serve by an operator's file, and keep their state in a directory each
-	Of               int  // doors that each is told of; 0: Doors
 }
 
 // Door is one door of a fleet.
@@ -296,7 +294,7 @@
 }
 
 func (f *Fleet) start(d *Door) error {
-	of := cmp.Or(f.Shape.Of, f.Shape.Doors)
+	of := f.Shape.Doors
 	write, args, env := f.config, []string(nil), []string(nil)
 	if f.Shape.Keeps {
 		write = f.file
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -52,7 +52,6 @@
 
 	mu    sync.Mutex
 	lines []string
-	seen  int           // lines so far
 	heard chan struct{} // closed at the next line, or its end
 	err   error         // how it ended
 }
@@ -87,7 +86,6 @@
 		if p.lines = append(p.lines, lines.Text()); len(p.lines) > keepLines {
 			p.lines = p.lines[1:]
 		}
-		p.seen++
 		close(p.heard)
 		p.heard = make(chan struct{})
 		p.mu.Unlock()
@@ -107,7 +105,7 @@
 	return append([]string(nil), p.lines...)
 }
 
-// Await waits for a line that holds a text, of those that come after the first skip, and tells it.
+// Await waits for a line that holds a text, and tells it.
 func (p *Process) Await(text string) (string, error) {
 	end := time.NewTimer(patience)
 	defer end.Stop()
