One alarm, one look at a socket, one loop that keeps, one figure: read again as a whole

Need: read once more, the change had written some things twice. unread.Conn peeked at its socket by itself, where netlook.Looker does; discovery's and Consul's alarms that look before they give up were one timer written twice (unread.Alarm now); the lists' keeper and the decisions' had a loop each (keepOn; the lists' now writes once more also if its Door is closed before the loop first ran); the time that sources have stood in drive and in the world (core.CatchUpMost); plans by name were gathered twice; a form's line was parsed by hand (strconv); the rig's two files each found the agent, and passed a count that follows from the shape. Behaviour else as it was, no test changed.

--- a/consul/consul.go
+++ b/consul/consul.go
@@ -91,22 +91,19 @@
 		scheme, addr = "http", c.Address
 	}
 	dialer := &net.Dialer{Timeout: 2 * time.Second, KeepAlive: 5 * time.Second}
-	listened := func(c net.Conn, err error) (net.Conn, error) {
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
 		return unread.New(c, nil), nil
 	}
-	transport := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-		return listened(dialer.DialContext(ctx, network, addr))
-	}, TLSHandshakeTimeout: 2 * time.Second, MaxIdleConnsPerHost: 64,
+	transport := &http.Transport{DialContext: dial, TLSHandshakeTimeout: 2 * time.Second, MaxIdleConnsPerHost: 64,
 		IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: 64 << 10}
 	switch scheme {
 	case "unix":
 		path := addr
-		transport.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
-			return listened(dialer.DialContext(ctx, "unix", path))
-		}
+		transport.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) { return dial(ctx, "unix", path) }
 		scheme, addr = "http", "localhost"
 	case "http", "https":
 		host, _, err := net.SplitHostPort(addr)
@@ -259,22 +256,16 @@
 
 // alarm calls silent after a question's patience; if something of its answer has come by then, as this process stood still, a while later.
 func (f *fresh) alarm(patience time.Duration, silent func()) *time.Timer {
-	var t *time.Timer
-	armed, late := make(chan struct{}), false
-	t = time.AfterFunc(patience, func() {
-		<-armed
+	late := false
+	return unread.Alarm(patience, func() time.Duration {
 		f.mu.Lock()
-		comes := f.comes() && !late
-		late = true
-		f.mu.Unlock()
-		if comes {
-			t.Reset(comesWithin)
-		} else {
-			silent()
+		defer f.mu.Unlock()
+		if late || !f.comes() {
+			return 0
 		}
-	})
-	close(armed)
-	return t
+		late = true
+		return comesWithin
+	}, silent)
 }
 
 // comesWithin is how long an answer may take that has begun to come when its question's patience is over.
--- a/decisions.go
+++ b/decisions.go
@@ -64,18 +64,11 @@
 // run keeps the decisions until ctx ends, and once more then.
 func (k *decisions) run(ctx context.Context) {
 	defer k.file.Close()
-	tick := time.NewTicker(snapshotEvery)
-	defer tick.Stop()
-	for ended := false; !ended; {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			ended = true
-		}
+	keepOn(ctx, snapshotEvery, func() {
 		if err := k.keep(); err != nil {
 			k.door.listLog.Do(func() { k.door.log.Warn("the decisions can't be kept", "err", err) })
 		}
-	}
+	})
 }
 
 func (k *decisions) keep() error {
--- a/internal/core/old.go
+++ b/internal/core/old.go
@@ -25,6 +25,10 @@
 // grace for drains, whatever the process did since.
 const Fresh = 500 * time.Millisecond
 
+// CatchUpMost is how long a driver gives the sources to take in what has arrived. A source that answers by then is heard, and one that does
+// not is like one that was silent all the time.
+const CatchUpMost = 500 * time.Millisecond
+
 // stood takes in that the process may have stood still for so long until now.
 func (c *Core) stood(d time.Duration) {
 	c.serial++
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -249,13 +249,9 @@
 // have or ctx ends. It is called before anything is served.
 func (d *Driver) CatchUp(with func(ctx context.Context, stood time.Duration)) { d.catchUp = with }
 
-// catchUpMost is how long sources have to take in what has arrived. Most attempts wait for less than that at most; a source that answers
-// by then is heard, and one that does not is like one that was silent all the time.
-const catchUpMost = 500 * time.Millisecond
-
 func (d *Driver) caughtUp(serial uint64, stood time.Duration) {
 	if d.catchUp != nil {
-		ctx, cancel := context.WithTimeout(d.life, catchUpMost)
+		ctx, cancel := context.WithTimeout(d.life, core.CatchUpMost)
 		defer cancel()
 		d.catchUp(ctx, stood)
 	}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -297,16 +297,12 @@
 	update func(EndpointList)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	var alarm *time.Timer
-	armed := make(chan struct{})
-	alarm = time.AfterFunc(silence, func() {
-		if <-armed; e.silent() {
-			cancel(errSilent)
-		} else {
-			alarm.Reset(silence)
+	alarm := unread.Alarm(silence, func() time.Duration {
+		if e.silent() {
+			return 0
 		}
-	})
-	close(armed)
+		return silence
+	}, func() { cancel(errSilent) })
 	defer alarm.Stop()
 	res, err := ask(ctx, rt, fmt.Sprintf("http://%s/v1/endpoints?watch=1&from=%d", addr, *from))
 	if err != nil {
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -207,8 +207,16 @@
 	return e
 }
 
-// Config is a door's file as the platform writes it.
-func (f *Fleet) config(d *Door, of int) ([]byte, error) {
+// discovery is where a door finds its agent.
+func (d *Door) discovery() string {
+	if d.Watch != nil {
+		return d.Watch.Addr()
+	}
+	return d.Agent.Addr()
+}
+
+// config is a door's file as the platform writes it.
+func (f *Fleet) config(d *Door) ([]byte, error) {
 	s := f.Shape
 	us := func(t time.Duration) int64 { return t.Microseconds() }
 	type object = map[string]any
@@ -218,16 +226,13 @@
 			"never_over_depth": 2 * s.Ceiling, "cap_slack": s.Ceiling / 4})
 	}
 	family := object{"largest": 1}
-	discovery, counter := d.Agent.Addr(), ""
+	counter := ""
 	if f.Meter != nil {
 		family["meter_period_us"] = 500_000
 	}
 	if f.Counter != nil {
 		family["has_counter"], family["count_limit_us"], counter = true, 30_000, f.Counter.Addr()
 	}
-	if d.Watch != nil {
-		discovery = d.Watch.Addr()
-	}
 	if d.Tally != nil {
 		counter = d.Tally.Addr()
 	}
@@ -235,23 +240,19 @@
 		return object{"name": name, "effect": effect, "group": "cell", "key_ttl_us": 5_000_000, "goal_time_us": us(s.Aim), "deadline_us": us(s.Deadline), "gain": gain}
 	}
 	list := d.Agent.List()
-	return json.MarshalIndent(object{"name": d.Name, "listen": d.Addr, "discovery": discovery, "counter": counter, "seed": strconv.FormatUint(s.Seed<<8+uint64(d.Number)+1, 16),
+	return json.MarshalIndent(object{"name": d.Name, "listen": d.Addr, "discovery": d.discovery(), "counter": counter, "seed": strconv.FormatUint(s.Seed<<8+uint64(d.Number)+1, 16),
 		"limits": object{"cores": 1, "memory_mb": s.MiB, "sockets": s.Descriptors}, "known": list,
-		"settings": object{"balancers": of, "me": d.Number, "discovery": "pushed", "lanes": []object{lane("look", "retryable", 1), lane("pay", "dedup", 5)}, "tariffs": tariffs, "family_info": family,
+		"settings": object{"balancers": s.Doors, "me": d.Number, "discovery": "pushed", "lanes": []object{lane("look", "retryable", 1), lane("pay", "dedup", 5)}, "tariffs": tariffs, "family_info": family,
 			"policy_limits": object{"cancel": true, "max_attempts": 3, "retry_after": true, "max_retry_after_us": us(s.MaxRetryAfter), "conn_idle_us": 15_000_000, "connect_timeout_us": 250_000},
 			"obligations":   object{"grace_to_answer_us": 50_000, "stop_sending_within_us": us(Grace), "cold_from": 0.2, "warm_within_us": us(s.Warm), "fall_multiple": 4, "fall_us": 1_000_000}}}, "", " ")
 }
 
 // file is a door's file as an operator writes it.
-func (f *Fleet) file(d *Door, of int) ([]byte, error) {
+func (f *Fleet) file(d *Door) ([]byte, error) {
 	s := f.Shape
 	if d.State == "" {
 		d.State = filepath.Join(s.Dir, "state-"+d.Name)
 	}
-	discovery := d.Agent.Addr()
-	if d.Watch != nil {
-		discovery = d.Watch.Addr()
-	}
 	type object = map[string]any
 	class := func(name, effect string, worth float64) object {
 		c := object{"name": name, "effect": effect, "aim": s.Aim.String(), "deadline": s.Deadline.String(), "worth": worth}
@@ -265,12 +266,12 @@
 		plans = append(plans, object{"name": "flagship", "rate": s.Ceiling, "burst": 2 * s.Ceiling, "price": 2.0, "ceiling_rate": s.Ceiling, "ceiling_burst": 2 * s.Ceiling,
 			"ceiling_slack": s.Ceiling / 4})
 	}
-	door := object{"number": d.Number, "of": of, "max_retry_after": s.MaxRetryAfter.String(), "largest_units": 1.0, "drain_grace": Grace.String(), "warm_within": s.Warm.String(),
+	door := object{"number": d.Number, "of": s.Doors, "max_retry_after": s.MaxRetryAfter.String(), "largest_units": 1.0, "drain_grace": Grace.String(), "warm_within": s.Warm.String(),
 		"fall_multiple": 4.0, "fall_for": "1s"}
 	if f.Meter != nil {
 		door["meter_period"] = "500ms"
 	}
-	return toml.Marshal(object{"listen": d.Addr, "state_dir": d.State, "sources": []string{"discovery"}, "door": door, "discovery": object{"address": discovery},
+	return toml.Marshal(object{"listen": d.Addr, "state_dir": d.State, "sources": []string{"discovery"}, "door": door, "discovery": object{"address": d.discovery()},
 		"class": []object{class("look", "safe", 1), class("pay", "keyed", 5)}, "plan": plans})
 }
 
@@ -294,12 +295,11 @@
 }
 
 func (f *Fleet) start(d *Door) error {
-	of := f.Shape.Doors
 	write, args, env := f.config, []string(nil), []string(nil)
 	if f.Shape.Keeps {
 		write = f.file
 	}
-	text, err := write(d, of)
+	text, err := write(d)
 	if err != nil {
 		return err
 	}
--- a/internal/sim/door.go
+++ b/internal/sim/door.go
@@ -70,7 +70,6 @@
 const (
 	connectTimeout = 250 * time.Millisecond
 	probeTimeout   = time.Second
-	catchUpMost    = 500 * time.Millisecond
 )
 
 // boot starts the process with its last lists.
@@ -275,7 +274,7 @@
 		left++
 		d.w.after(0, func() { d.in(epoch, nil, func() { d.lists.watch.catchUp(d.w.now-e.Stood, done) }) })
 	}
-	d.w.after(catchUpMost, func() { d.in(epoch, nil, func() { left = -1; caught() }) })
+	d.w.after(core.CatchUpMost, func() { d.in(epoch, nil, func() { left = -1; caught() }) })
 	done()
 }
 
--- a/internal/unread/unread.go
+++ b/internal/unread/unread.go
@@ -7,13 +7,17 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
+
+	"pumicecroft/internal/netlook"
 )
 
 // Conn is a connection that tells what of it is unread. One goroutine reads it at a time; the rest is safe for concurrent use.
 type Conn struct {
 	net.Conn
 	raw  syscall.RawConn // nil: nothing can be told
-	tell func()          // hears of each time at which a reader found nothing, and of the end
+	look *netlook.Looker
+	tell func() // hears of each time at which a reader found nothing, and of the end
 
 	mu    sync.Mutex // held while the system is asked, so that nothing is read and not yet told
 	empty bool       // its reader has found nothing, and waits
@@ -23,7 +27,7 @@
 
 // New makes one of a connection. tell may be nil; it is called without a lock, by the reading goroutine.
 func New(c net.Conn, tell func()) *Conn {
-	u := &Conn{Conn: c, tell: tell}
+	u := &Conn{Conn: c, tell: tell, look: netlook.New(c)}
 	if sc, ok := c.(syscall.Conn); ok {
 		u.raw, _ = sc.SyscallConn()
 	}
@@ -84,13 +88,7 @@
 	if c.raw == nil || c.ended || !c.empty {
 		return false
 	}
-	nothing := false
-	err := c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		nothing = err == syscall.EAGAIN
-	})
-	return err == nil && nothing
+	return c.look.Look() == netlook.Clean
 }
 
 // Got is how many bytes have been read.
@@ -99,3 +97,20 @@
 	defer c.mu.Unlock()
 	return c.got
 }
+
+// Alarm calls silent once nothing was heard for a time, unless longer says that there is more to wait for, and for how long: if this process
+// stood still, what was said meanwhile has come and waits. The timer may be stopped and reset as any other.
+func Alarm(after time.Duration, longer func() time.Duration, silent func()) *time.Timer {
+	var t *time.Timer
+	armed := make(chan struct{})
+	t = time.AfterFunc(after, func() {
+		<-armed
+		if more := longer(); more > 0 {
+			t.Reset(more)
+		} else {
+			silent()
+		}
+	})
+	close(armed)
+	return t
+}
--- a/keeper.go
+++ b/keeper.go
@@ -42,14 +42,20 @@
 
 // run writes what has changed, until ctx ends, and then once more.
 func (k *keeper) run(ctx context.Context) {
-	tick := time.NewTicker(keepEvery)
+	keepOn(ctx, keepEvery, k.write)
+}
+
+// keepOn writes every so often until ctx ends, and then once more.
+func keepOn(ctx context.Context, every time.Duration, write func()) {
+	tick := time.NewTicker(every)
 	defer tick.Stop()
-	for ctx.Err() == nil {
+	for ended := false; !ended; {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
+			ended = true
 		}
-		k.write()
+		write()
 	}
 }
 
--- a/recovery/snapshot.go
+++ b/recovery/snapshot.go
@@ -1,12 +1,14 @@
 package recovery
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -95,20 +97,10 @@
 
 // cut takes the line with the form off.
 func cut(b []byte) (form int, rest []byte, ok bool) {
-	if len(b) < len(magic) || string(b[:len(magic)]) != string(magic) {
-		return 0, nil, false
-	}
-	b = b[len(magic):]
-	for i, c := range b {
-		switch {
-		case c == '\n' && i > 0:
-			return form, b[i+1:], true
-		case c < '0' || c > '9' || i > 5:
-			return 0, nil, false
-		}
-		form = 10*form + int(c-'0')
-	}
-	return 0, nil, false
+	b, ok = bytes.CutPrefix(b, magic)
+	line, rest, whole := bytes.Cut(b, []byte("\n"))
+	form, err := strconv.Atoi(string(line))
+	return form, rest, ok && whole && err == nil
 }
 
 // Digest tells settings apart: equal ones have the same digest, and a snapshot holds under those alone that it was kept under.
@@ -147,11 +139,15 @@
 
 // NewDebtors gathers at most so many.
 func NewDebtors(plans []decision.Plan, most int) *Debtors {
-	d := &Debtors{most: most, plans: map[string]*decision.Plan{}}
+	return &Debtors{most: most, plans: byName(plans)}
+}
+
+func byName(plans []decision.Plan) map[string]*decision.Plan {
+	out := map[string]*decision.Plan{}
 	for i := range plans {
-		d.plans[plans[i].Name] = &plans[i]
+		out[plans[i].Name] = &plans[i]
 	}
-	return d
+	return out
 }
 
 // Add takes one that owes. It holds twice the most that it gives.
@@ -232,10 +228,7 @@
 	default:
 		paid, b.Why = seconds(age), "it is young and whole: who is not in it owes nothing"
 	}
-	plans := map[string]*decision.Plan{}
-	for i := range d.Plans {
-		plans[d.Plans[i].Name] = &d.Plans[i]
-	}
+	plans := byName(d.Plans)
 	for _, c := range s.Customers {
 		p := plans[c.Plan]
 		if p == nil { // settings of one digest hold the same plans, but a snapshot may say anything
