Clients that leave are seen whatever they sent; nothing begun is cut off at the end; SIGHUP holds

Cause: net/http learns of a client's leaving by reading one byte, and stops once a byte comes (connReader.backgroundRead), so any byte behind a request hid FIN and RST; http.Server.Shutdown closes every idle connection, those with half a head or unread bytes among them; 'closing' was read where a request began (httpfront.ServeHTTP), so what was in flight at SIGTERM left its connection open; Hangups ended with SIGTERM's context (cmd/pumicecroft/main.go), so SIGHUP moved nothing in a drain; SIGHUP before signal.Notify ended the process. Change: clientConn leaves what comes behind an open request in the socket and waits for the end alone (POLLRDHUP by netlook.Gone); the end closes connections itself, only those between requests with nothing come (connTable.settle), then Shutdown; answers say 'Connection: close' when they begin; what begins after the drain is refused at once; Hangups outlives SIGTERM; run ignores SIGHUP until the program wants it (deploy_test's line replaced by one as strict: it is still one process, by exec). golang.org/x/sys is direct now.

--- a/cmd/pumicecroft/main.go
+++ b/cmd/pumicecroft/main.go
@@ -85,7 +85,7 @@
 // run parses and runs a command line.
 func run(ctx context.Context, args []string, out io.Writer) (err error) {
 	if path := os.Getenv("NODE_CONFIG"); len(args) == 0 && path != "" {
-		return daemon.Serve(ctx, path, daemon.Hangups(ctx))
+		return daemon.Serve(ctx, path, daemon.Hangups(context.WithoutCancel(ctx))) // also while it ends: what it holds is still sent on
 	}
 	var c program
 	parser, err := kong.New(&c, kong.Name("pumicecroft"), kong.Description("A front door that holds every customer of a shared set of backends to its plan. Without a command it serves as the file says that NODE_CONFIG names."),
--- a/cmd/pumicecroft/main_test.go
+++ b/cmd/pumicecroft/main_test.go
@@ -16,6 +16,9 @@
 	"time"
 
 	"pumicecroft/internal/daemon"
+	"pumicecroft/internal/testkit"
+
+	"github.com/pelletier/go-toml/v2"
 )
 
 const config = `{"name":"n0","listen":"%s","discovery":"%s","seed":"1",
@@ -67,82 +70,164 @@
 	os.Exit(m.Run())
 }
 
-// Unhandled, SIGHUP ends a program. It must move discovery instead, and a file that is no good must change
-// nothing: the program serves on, and the next good file counts.
-func TestSIGHUPMovesDiscovery(t *testing.T) {
-	discovery := func() (addr string, asked chan string) {
-		asked = make(chan string, 100)
-		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			asked <- r.URL.RequestURI()
-			fmt.Fprintln(w, `{"seq":3,"whole":true,"hosts":[]}`)
-			if r.URL.RawQuery != "" {
-				w.(http.Flusher).Flush()
-				<-r.Context().Done()
-			}
-		}))
-		t.Cleanup(s.Close)
-		return strings.TrimPrefix(s.URL, "http://"), asked
-	}
-	await := func(asked chan string, want string) {
-		t.Helper()
-		select {
-		case got := <-asked:
-			if got != want {
-				t.Fatalf("discovery was asked for %s, want %s", got, want)
-			}
-		case <-time.After(20 * time.Second):
-			t.Fatalf("discovery was never asked for %s", want)
-		}
-	}
-	replace := func(path, text string) {
-		t.Helper()
-		if err := os.Rename(write(t, text), path); err != nil {
-			t.Fatal(err)
-		}
-	}
-	old, askedOld := discovery()
-	now, askedNow := discovery()
-	path := write(t, fmt.Sprintf(config, "127.0.0.1:0", old))
-	cmd := exec.Command(os.Args[0])
+// process is the program as a process of its own, and what it says.
+type process struct {
+	*exec.Cmd
+	lines chan string
+}
+
+// startProgram starts it by a configuration's path, as a shell that has been told shell before does.
+func startProgram(t *testing.T, path, shell string) *process {
+	t.Helper()
+	cmd := exec.Command("/bin/sh", "-c", shell+` exec "$0"`, os.Args[0])
 	cmd.Env = append(os.Environ(), "PUMICECROFT_AS_PROGRAM=1", "NODE_CONFIG="+path)
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	lines := make(chan string, 100)
+	p := &process{cmd, make(chan string, 1000)}
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { cmd.Process.Kill() })
 	go func() {
 		for scan := bufio.NewScanner(log); scan.Scan(); {
-			lines <- scan.Text()
+			p.lines <- scan.Text()
 		}
-		close(lines)
+		close(p.lines)
 	}()
-	defer cmd.Process.Kill()
-	await(askedOld, "/v1/endpoints?watch=1&from=1")
+	return p
+}
 
-	replace(path, "{")
-	cmd.Process.Signal(syscall.SIGHUP)
+// says waits for a line.
+func (p *process) says(t *testing.T, what string) string {
+	t.Helper()
 	timeout := time.After(20 * time.Second)
-	for told := false; !told; {
+	for {
 		select {
-		case line, ok := <-lines:
+		case line, ok := <-p.lines:
 			if !ok {
-				t.Fatal("SIGHUP ended the program")
+				t.Fatalf("it ended without a word of %q", what)
+			}
+			if strings.Contains(line, what) {
+				return line
 			}
-			told = strings.Contains(line, "no good")
 		case <-timeout:
-			t.Fatal("no word of the bad file")
+			t.Fatalf("no word of %q", what)
 		}
 	}
-	replace(path, fmt.Sprintf(config, "127.0.0.1:0", now))
-	cmd.Process.Signal(syscall.SIGHUP)
+}
+
+// asked tells what a discovery is asked for.
+func asked(t *testing.T) (addr string, asked chan string) {
+	t.Helper()
+	asked = make(chan string, 100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RequestURI()
+		fmt.Fprintln(w, `{"seq":3,"whole":true,"hosts":[]}`)
+		if r.URL.RawQuery != "" {
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://"), asked
+}
+
+func replace(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.Rename(write(t, text), path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A program that is ending still sends on what it holds, and goes by the discovery that a new configuration names: SIGHUP behind SIGTERM
+// moves it too, and so does each of two that come one behind the other.
+func TestSIGHUPMovesDiscoveryWhileItEnds(t *testing.T) {
+	old, askedOld := asked(t)
+	now, askedNow := asked(t)
+	last, askedLast := asked(t)
+	path := write(t, fmt.Sprintf(config, "127.0.0.1:0", old))
+	p := startProgram(t, path, "")
+	testkit.Await(t, askedOld, "the first watch")
+	_, addr, _ := strings.Cut(p.says(t, "listen="), "listen=")
+	begun, err := net.Dial("tcp", addr) // half a head: it is waited for
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer begun.Close()
+	fmt.Fprint(begun, "GET /c HTT")
+	replace(t, path, fmt.Sprintf(config, "127.0.0.1:0", now))
+	p.Process.Signal(syscall.SIGTERM)
+	p.says(t, "told to end")
+	p.Process.Signal(syscall.SIGHUP)
+	if got := testkit.Await(t, askedNow, "the new discovery to be asked"); got != "/v1/endpoints" {
+		t.Errorf("it was asked for %s", got)
+	}
+	replace(t, path, fmt.Sprintf(config, "127.0.0.1:0", last))
+	p.Process.Signal(syscall.SIGHUP)
+	p.Process.Signal(syscall.SIGHUP)
+	testkit.Await(t, askedLast, "the last discovery to be asked")
+	if err := p.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
+
+// SIGHUP to a process that does not want it yet does no harm, as the deploy file starts it: the configuration is read later.
+func TestSIGHUPBeforeItIsWanted(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var deploy struct{ Run string }
+	if err := toml.Unmarshal(text, &deploy); err != nil {
+		t.Fatal(err)
+	}
+	before, ok := strings.CutSuffix(deploy.Run, "exec bin/pumicecroft")
+	if !ok {
+		t.Fatalf("run is %q", deploy.Run)
+	}
+	addr, asked := asked(t)
+	p := startProgram(t, write(t, fmt.Sprintf(config, "127.0.0.1:0", addr)), before+" kill -HUP $$;")
+	testkit.Await(t, asked, "the first watch")
+	p.Process.Signal(syscall.SIGHUP) // and now it is wanted
+	p.says(t, "configured anew")
+	p.Process.Signal(syscall.SIGTERM)
+	if err := p.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
+
+// Unhandled, SIGHUP ends a program. It must move discovery instead, and a file that is no good must change
+// nothing: the program serves on, and the next good file counts.
+func TestSIGHUPMovesDiscovery(t *testing.T) {
+	await := func(asked chan string, want string) {
+		t.Helper()
+		select {
+		case got := <-asked:
+			if got != want {
+				t.Fatalf("discovery was asked for %s, want %s", got, want)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatalf("discovery was never asked for %s", want)
+		}
+	}
+	old, askedOld := asked(t)
+	now, askedNow := asked(t)
+	path := write(t, fmt.Sprintf(config, "127.0.0.1:0", old))
+	p := startProgram(t, path, "")
+	await(askedOld, "/v1/endpoints?watch=1&from=1")
+
+	replace(t, path, "{")
+	p.Process.Signal(syscall.SIGHUP)
+	p.says(t, "no good")
+	replace(t, path, fmt.Sprintf(config, "127.0.0.1:0", now))
+	p.Process.Signal(syscall.SIGHUP)
 	await(askedNow, "/v1/endpoints")
 	await(askedNow, "/v1/endpoints?watch=1&from=3")
 
-	cmd.Process.Signal(syscall.SIGTERM)
-	if err := cmd.Wait(); err != nil {
+	p.Process.Signal(syscall.SIGTERM)
+	if err := p.Wait(); err != nil {
 		t.Errorf("the program ended with %v", err)
 	}
 }
--- a/cmd/pumicecroft/operator.go
+++ b/cmd/pumicecroft/operator.go
@@ -103,5 +103,5 @@
 	if err != nil {
 		return err
 	}
-	return daemon.ServeFile(ctx, f, c.read, daemon.Hangups(ctx))
+	return daemon.ServeFile(ctx, f, c.read, daemon.Hangups(context.WithoutCancel(ctx)))
 }
--- a/deploy_test.go
+++ b/deploy_test.go
@@ -24,7 +24,8 @@
 	if err := toml.Unmarshal(text, &deploy); err != nil {
 		t.Fatal(err)
 	}
-	if deploy.Run != "exec bin/pumicecroft" || deploy.Sim != "exec bin/adapter" {
+	// SIGHUP ends a process that has not yet said that it wants it: until then it is to be passed over, as the file has not been read either
+	if deploy.Run != "trap '' HUP; exec bin/pumicecroft" || deploy.Sim != "exec bin/adapter" {
 		t.Errorf("run %q and sim %q are not one process each", deploy.Run, deploy.Sim)
 	}
 	if !strings.Contains(deploy.Build, "-o bin/ ./cmd/...") {
--- a/internal/httpfront/conns.go
+++ b/internal/httpfront/conns.go
@@ -1,7 +1,10 @@
 package httpfront
 
 import (
+	"bytes"
 	"container/list"
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -21,23 +24,81 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: c}, nil
+	cc := &clientConn{Conn: c}
+	if sc, ok := c.(syscall.Conn); ok {
+		cc.raw, _ = sc.SyscallConn()
+	}
+	cc.look = cc.lookForEnd
+	return cc, nil
 }
 
 // clientConn is a client's connection.
 type clientConn struct {
 	net.Conn
-	begun atomic.Bool // something has been read since it was new or idle
+	raw   syscall.RawConn // nil: nothing can be seen of it
+	begun atomic.Bool     // something has been read since it was new or idle
+	busy  atomic.Bool     // a request is open, whose head has been read
+	gone  atomic.Bool     // its client has left, and what it had sent before is not read any more
+
+	// One goroutine reads at a time; the rest is its own.
+	first []byte // of what was read, until it is known whether HTTP/2 is spoken here
+	look  func(fd uintptr) bool
+	ended error // what look has found
 }
 
+// http2Begins is how a client begins that speaks HTTP/2; no request of HTTP/1.1 begins so.
+const http2Begins = "PRI"
+
+// Read reads as the connection does. But while a request of HTTP/1.1 is open the server reads one byte, only to learn whether the client
+// leaves, and a byte that comes would be the last thing that it learns: whoever sends anything behind its request could leave unseen. So
+// then nothing is taken, and Read waits for the client's leaving, or to be called off by a deadline. What has come stays in the socket.
 func (c *clientConn) Read(p []byte) (int, error) {
+	if c.gone.Load() {
+		return 0, io.EOF
+	}
+	if len(p) == 1 && c.raw != nil && c.busy.Load() && string(c.first) != http2Begins {
+		c.ended = nil
+		if err := c.raw.Read(c.look); err != nil { // a deadline, or it is closed here
+			return 0, err
+		}
+		c.gone.Store(true)
+		return 0, c.ended
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.begun.Store(true)
+		if have := len(c.first); have < len(http2Begins) && bytes.HasPrefix([]byte(http2Begins), c.first) {
+			c.first = append(c.first, p[:min(n, len(http2Begins)-have)]...)
+		}
 	}
 	return n, err
 }
 
+// lookForEnd tells whether the client has left.
+func (c *clientConn) lookForEnd(fd uintptr) bool {
+	switch n, err := peek(fd); {
+	case n > 0:
+		if !netlook.Gone(fd) {
+			return false
+		}
+		c.ended = io.EOF
+	case err == syscall.EAGAIN || err == syscall.EINTR:
+		return false
+	case err != nil:
+		c.ended = err
+	default:
+		c.ended = io.EOF
+	}
+	return true
+}
+
+// peek tells how much has come, one byte at the most, and takes nothing.
+func peek(fd uintptr) (n int, err error) {
+	var b [1]byte
+	n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
 // SyscallConn lets netlook look at the connection below.
 func (c *clientConn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
@@ -52,14 +113,16 @@
 type connTable struct {
 	most int
 
-	mu    sync.Mutex
-	open  map[net.Conn]*list.Element
-	order *list.List // of *entry: the silent ones in the order in which they fell silent, others among them
+	mu      sync.Mutex
+	changed chan struct{} // closed at the next change, if somebody waits for that
+	open    map[net.Conn]*list.Element
+	order   *list.List // of *entry: the silent ones in the order in which they fell silent, others among them
 }
 
 type entry struct {
 	conn net.Conn
 	busy bool // a request is open
+	used bool // one has been
 }
 
 func newConnTable(most int) *connTable {
@@ -70,7 +133,12 @@
 func (t *connTable) note(c net.Conn, state http.ConnState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.changed != nil {
+		close(t.changed)
+		t.changed = nil
+	}
 	e := t.open[c]
+	cc, _ := below(c).(*clientConn)
 	switch state {
 	case http.StateNew:
 		t.open[c] = t.order.PushBack(&entry{conn: c})
@@ -78,14 +146,18 @@
 		if e == nil {
 			return // closed by shrink
 		}
-		if cc, ok := below(c).(*clientConn); ok {
+		if cc != nil {
 			cc.begun.Store(false) // what was read until here is answered
+			cc.busy.Store(false)
 		}
 		e.Value.(*entry).busy = false
 		t.order.MoveToBack(e)
 	case http.StateActive:
+		if cc != nil {
+			cc.busy.Store(true)
+		}
 		if e != nil {
-			e.Value.(*entry).busy = true
+			e.Value.(*entry).busy, e.Value.(*entry).used = true, true
 		}
 	default:
 		if e != nil {
@@ -126,6 +198,42 @@
 	}
 }
 
+// settle closes connections that are between requests, until each that is left has a request open, or ctx ends. One on which something has come
+// since its last answer is spared, and so is a new one until it has asked or was silent for too long: closing it would lose a request that
+// its client has sent.
+func (t *connTable) settle(ctx context.Context) {
+	for {
+		t.mu.Lock()
+		waits := 0
+		for e := t.order.Front(); e != nil; {
+			en, next := e.Value.(*entry), e.Next()
+			if !en.busy {
+				if en.used && !asking(en.conn) {
+					t.order.Remove(e)
+					delete(t.open, en.conn)
+					en.conn.Close()
+				} else {
+					waits++
+				}
+			}
+			e = next
+		}
+		if t.changed == nil {
+			t.changed = make(chan struct{})
+		}
+		changed := t.changed
+		t.mu.Unlock()
+		if waits == 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // below is the connection that TLS is on, or the connection itself.
 func below(c net.Conn) net.Conn {
 	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -35,7 +35,8 @@
 	options  Options
 	log      *slog.Logger
 	conns    *connTable
-	closing  atomic.Bool
+	closing  atomic.Bool  // it is to end
+	ended    atomic.Bool  // nothing new is taken any more
 	lastConn atomic.Int64 // when the last connection was accepted, Unix time in nanoseconds
 }
 
@@ -93,27 +94,75 @@
 	case <-ctx.Done():
 	}
 	s.closing.Store(true)
+	s.log.Info("told to end")
 	start := time.Now()
 	for time.Since(start) < drainLeast ||
 		time.Since(start) < drainMost && time.Since(time.Unix(0, s.lastConn.Load())) < drainQuiet {
 		time.Sleep(10 * time.Millisecond)
 	}
+	// What is taken from here on might not be answered before the platform's patience ends.
+	s.ended.Store(true)
 	stop, cancel := context.WithTimeout(context.Background(), s.longest)
 	defer cancel()
+	_ = listener.Close() // Serve ends; Shutdown says what goes wrong
+	s.conns.settle(stop)
 	return srv.Shutdown(stop)
 }
 
-// ServeHTTP answers /ready itself and passes on the rest.
+// ServeHTTP answers /ready itself and passes on the rest. Once the server is to end, each answer says that its connection ends with it,
+// whenever its request came; what comes when nothing new may be taken is refused.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	closing := s.closing.Load()
-	if closing {
-		w.Header().Set("Connection", "close")
+	a := &answering{ResponseWriter: w, s: s}
+	switch {
+	case r.URL.Path == "/ready" && !s.options.Ordinary:
+		if s.closing.Load() {
+			a.WriteHeader(http.StatusServiceUnavailable)
+		} else {
+			a.WriteHeader(http.StatusOK)
+		}
+	case s.ended.Load():
+		a.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		s.handler.ServeHTTP(a, r)
 	}
-	if r.URL.Path == "/ready" && !s.options.Ordinary {
-		if closing {
-			w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// answering is the writer of one answer. Its handler may have begun long before the server was to end, so it is the beginning of the answer
+// that counts.
+type answering struct {
+	http.ResponseWriter
+	s     *Server
+	begun bool
+}
+
+// WriteHeader begins the answer, or says what goes ahead of it.
+func (a *answering) WriteHeader(status int) {
+	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		a.begin()
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write begins the answer if nothing has, as http.ResponseWriter's does.
+func (a *answering) Write(b []byte) (int, error) {
+	a.begin()
+	return a.ResponseWriter.Write(b)
+}
+
+// FlushError is http.ResponseController's Flush: it begins the answer.
+func (a *answering) FlushError() error {
+	a.begin()
+	return http.NewResponseController(a.ResponseWriter).Flush()
+}
+
+// Unwrap is for http.ResponseController.
+func (a *answering) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+func (a *answering) begin() {
+	if !a.begun {
+		a.begun = true
+		if a.s.closing.Load() {
+			a.Header().Set("Connection", "close")
 		}
-		return
 	}
-	s.handler.ServeHTTP(w, r)
 }
--- a/internal/netlook/netlook.go
+++ b/internal/netlook/netlook.go
@@ -5,6 +5,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Sight is what can be seen on a connection.
@@ -56,3 +58,11 @@
 		l.seen = Clean
 	}
 }
+
+// Gone tells whether the other side of a descriptor has ended its sending or broken the connection, whatever of what it sent before is
+// still unread. It never waits.
+func Gone(fd uintptr) bool {
+	look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(look, 0)
+	return err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
