A first reading far beyond the rate, at one of many doors, counts the burst as used

After a first reading of 400 the store still stood at the whole burst (customer() fills it, onReading takes one period off), so the second request passed too. Change: decision/store.go onReading: such a first reading, beyond what one request makes of a period, at one of more than four doors, empties the store. Test: 'after a first reading of 400 at one of 5 doors the next request goes: true' without it.

--- a/decision/quota_test.go
+++ b/decision/quota_test.go
@@ -63,6 +63,32 @@
 	}
 }
 
+// Of a customer that is met for the first time at a door of many, the first reading tells what it has done at the others: who is far beyond its
+// rate has used its burst up there. One request's worth of a period's use is no sign of that, nor is anything at one of a few doors.
+func TestAFirstReadingTellsOfTheOtherDoors(t *testing.T) {
+	for _, c := range []struct {
+		doors int
+		use   float64
+		goes  bool // the next request, a moment later
+	}{{300, 400, false}, {300, 120, true}, {300, 60, true}, {5, 400, false}, {4, 400, true}, {2, 400, true}} {
+		s := testSettings()
+		s.FrontDoors = c.doors
+		s.Plans = append(s.Plans, Plan{Name: "shop", Rate: 20, Burst: 100, Price: 1})
+		r := newRig(t, s, fleet(2)...)
+		ask := func(id RequestID) {
+			r.do(Request{ID: id, Customer: 9, Class: "safe", Plan: "shop", Units: 4, Patience: 5 * second, Spread: c.doors})
+		}
+		ask(1)
+		r.now += 1500 * ms
+		r.reading(r.g.customers[9], c.use)
+		r.now += 100 * ms
+		ask(2)
+		if goes := r.g.requests[2] != nil; goes != c.goes {
+			t.Errorf("after a first reading of %v at one of %d doors the next request goes: %t", c.use, c.doors, goes)
+		}
+	}
+}
+
 // Readings come seconds late: a burst used to pass whole, at every door, before one told of it.
 func TestABurstIsHeldBeforeAnyReading(t *testing.T) {
 	r := newRig(t, testSettings(), fleet(2)...)
--- a/decision/store.go
+++ b/decision/store.go
@@ -95,6 +95,7 @@
 		c.storeAt+p > g.now) {
 		return
 	}
+	first := c.heard == 0
 	c.read, c.lastUse = g.now, use
 	// a reading is taken to be readingAge old; of a gap before it only this door's own sends are known
 	from := max(c.storeAt, g.now-(1+readingAge)*p)
@@ -113,6 +114,11 @@
 	c.heard = c.decay*c.heard + p.Seconds()
 	c.own = c.decay*c.own + own
 	c.store = max(0, min(c.capacity(), c.store+(100-use)*p.Seconds()))
+	// A door of many meets most customers once or twice: who asks for more than its rate has mostly done so for long, at the others. What
+	// one request makes of a period tells nothing, and where a door has much of the traffic it has seen the beginning itself.
+	if first && c.doors > shareDoors && c.plan.Rate > 0 && use > 100+100*c.units/(c.plan.Rate*c.period) {
+		c.store = 0
+	}
 	if c.store > 0 || use <= 0 {
 		c.pass = 1
 	} else {
