A watch lives by whole words, begins within half the grace, and has a bound; short graces hold

Cause: platform/discovery.go 'heard' let any byte reset the silence alarm, so a list that never ended kept a dead watch; a watch that never said its first list had the 3 s of an open one, so two silent ones one behind the other took 6.2 s, and 6 s is when what they missed counts as told; lists had no bound; Members dropped an entry of no sense, and a whole list without it let its backend go. core.Fresh, CatchUpMost and recovery.Pulse were fixed for a grace of 2 s: with 1 s (the other customer's) up to 1.5 s of standstill passed unnoticed. Change: words: an empty line, a list's beginning and its end break silence; the first list within half of the grace, at most 1 s, where a call costs nothing; 8 MiB a list; membership.List.Unclear; recovery.TimesFor(grace), asked by core and driver.

--- a/door.go
+++ b/door.go
@@ -188,7 +188,7 @@
 	}
 	d.backends = drive.NewMux(d.protocols)
 	life := core.New(decider, set.Classes, core.Limits{Open: config.MaxOpen, Attempts: set.MaxAttempts,
-		Remember: remember, Standstills: true}, clock.Now())
+		Remember: remember, Standstills: true, Grace: set.DrainGrace}, clock.Now())
 	d.driver = drive.New(clock, life, d.backends, set.CanCancel)
 	d.driver.CatchUp(d.catchUp)
 	if d.counter != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,8 +49,10 @@
 	Ids      int           // ids remembered so that their effects do not happen again; 4,096
 	Remember time.Duration // how long such an id is remembered; 10 s
 	// Standstills has the core notice that its process stood still, and hold attempts back until what has arrived meanwhile has been
-	// taken in (CatchUp). Next is then never further away than recovery.Pulse.
+	// taken in (CatchUp). Next is then never further away than Times().Pulse.
 	Standstills bool
+	// Grace is for how long a backend that drains may be sent to; how soon a standstill is noticed follows from it. 0: 2 s.
+	Grace time.Duration
 }
 
 func (l Limits) withDefaults() Limits {
@@ -209,13 +211,17 @@
 // single.
 func New(d Decider, classes []decision.Class, limits Limits, now time.Duration) *Core {
 	c := &Core{decide: d, limits: limits.withDefaults(), now: now, calls: map[decision.RequestID]*call{},
-		effects: map[string]decision.Effect{}, ids: map[decision.RequestID]bool{}}
+		effects: map[string]decision.Effect{}, ids: map[decision.RequestID]bool{},
+		still: recovery.Standstill{Times: recovery.TimesFor(limits.Grace)}}
 	for _, cl := range classes {
 		c.effects[cl.Name] = cl.Effect
 	}
 	return c
 }
 
+// Times are how old what leaves may be, and how long the sources have to catch up. They do not change.
+func (c *Core) Times() recovery.Times { return c.still.Times }
+
 // Open is how many requests are kept: without a Final, or with an attempt that has not ended.
 func (c *Core) Open() int { return len(c.calls) }
 
--- a/internal/core/old.go
+++ b/internal/core/old.go
@@ -21,14 +21,6 @@
 	notAfter time.Duration
 }
 
-// Fresh is how old a decision may be when its attempt leaves, before Leaves has to be asked: well below half of a second less than the
-// grace for drains, whatever the process did since.
-const Fresh = 500 * time.Millisecond
-
-// CatchUpMost is how long a driver gives the sources to take in what has arrived. A source that answers by then is heard, and one that does
-// not is like one that was silent all the time.
-const CatchUpMost = 500 * time.Millisecond
-
 // stood takes in that the process may have stood still for so long until now.
 func (c *Core) stood(d time.Duration) {
 	c.serial++
@@ -72,7 +64,7 @@
 // CatchingUp tells whether attempts are held back now.
 func (c *Core) CatchingUp() bool { return c.catching > 0 }
 
-// Leaves asks whether an attempt whose Start is older than Fresh may still leave. It may not if the process stood still since and has not
+// Leaves asks whether an attempt whose Start is older than Times().Fresh may still leave. It may not if the process stood still since and has not
 // caught up, or if its backend has been told to drain since it was chosen; then it ends as not sent.
 func (c *Core) Leaves(now time.Duration, id decision.RequestID, attempt int) (effects []Effect, may bool) {
 	c.begin(now)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,7 +33,7 @@
 	moves := make(chan string)
 	options := []pumicecroft.Option{pumicecroft.WithLogger(slog.Default()),
 		pumicecroft.WithSource(&platform.Discovery{Addr: config.Discovery, From: config.Known.Seq, Moves: moves,
-			Ask: config.Conns.Ask, Seed: config.Seed})}
+			Ask: config.Conns.Ask, Seed: config.Seed, Grace: config.Settings.DrainGrace})}
 	moved := func(string) {}
 	if config.Settings.SharedCounter {
 		// on sockets a late answer is still good, and no worse for the client than a refusal
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -14,6 +14,7 @@
 	"pumicecroft/decision"
 	"pumicecroft/internal/core"
 	"pumicecroft/membership"
+	"pumicecroft/recovery"
 )
 
 // origin is how far before the driver's start its clock begins, so that a backend's start before ours is still a
@@ -140,7 +141,7 @@
 		return true
 	}
 	k := a.call
-	if k == nil || now.Sub(a.decided) <= core.Fresh {
+	if k == nil || now.Sub(a.decided) <= k.driver.times.Fresh {
 		return false
 	}
 	d := k.driver
@@ -219,6 +220,7 @@
 	counter Counter                              // nil: there is none, and each call ends as not sent
 	catchUp func(context.Context, time.Duration) // nil: there is nothing to wait for
 	inline  bool
+	times   recovery.Times
 	life    context.Context // until Stop
 	over    context.CancelFunc
 
@@ -237,7 +239,7 @@
 // New starts a driver. canCancel tells whether the decision module calls attempts off whose request has ended; if
 // not, each attempt has a goroutine of its own, so that none holds back its request's answer.
 func New(clock Clock, c *core.Core, carrier Carrier, canCancel bool) *Driver {
-	d := &Driver{clock: clock, core: c, carrier: carrier, inline: canCancel}
+	d := &Driver{clock: clock, core: c, carrier: carrier, inline: canCancel, times: c.Times()}
 	d.life, d.over = context.WithCancel(context.Background())
 	return d
 }
@@ -251,7 +253,7 @@
 
 func (d *Driver) caughtUp(serial uint64, stood time.Duration) {
 	if d.catchUp != nil {
-		ctx, cancel := context.WithTimeout(d.life, core.CatchUpMost)
+		ctx, cancel := context.WithTimeout(d.life, d.times.CatchUp)
 		defer cancel()
 		d.catchUp(ctx, stood)
 	}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -41,7 +43,7 @@
 
 var states = map[string]decision.BackendState{"Ready": decision.Ready, "Terminating": decision.Draining, "Gone": decision.Gone}
 
-// Members gives the list in the library's terms. Entries that make no sense are left out.
+// Members gives the list in the library's terms. Entries that make no sense change nothing of what was known.
 func (l EndpointList) Members() membership.List {
 	out := membership.List{Whole: l.Whole}
 	for _, e := range l.Hosts {
@@ -53,6 +55,7 @@
 		}
 		if !ok || e.BornMS < 0 { // what else may be wrong with a node the library looks at
 			slog.Warn("discovery: an entry that makes no sense", "entry", e)
+			out.Unclear = append(out.Unclear, e.Host)
 			continue
 		}
 		out.Nodes = append(out.Nodes, n)
@@ -68,6 +71,9 @@
 	// Ask is the time within which discovery has to be asked, where a call costs it work; 0: it does not.
 	Ask  time.Duration
 	Seed uint64 // of the moments at which it is asked
+	// Grace is for how long a backend that drains may be sent to. A watch that has been opened where asking costs nothing has to begin within
+	// half of it, and within a second; 0: 2 s.
+	Grace time.Duration
 
 	ears ears
 }
@@ -176,10 +182,23 @@
 const (
 	// A watch says something every 2 s, if only an empty line. One that is silent for longer is dead.
 	watchSilence = 3 * time.Second
-	movedWithin  = 2 * time.Second // after a move the new discovery's list is wanted
-	fetchTimeout = time.Second     // the agent answers at once, or is silent
+	movedWithin  = 2 * time.Second        // after a move the new discovery's list is wanted
+	fetchTimeout = time.Second            // the agent answers at once, or is silent
+	firstLeast   = 250 * time.Millisecond // ... but this process may be slow to hear it
+	mostList     = 8 << 20                // bytes of one list or change
 )
 
+// first is when a watch has to have begun.
+func (d *Discovery) first() time.Duration {
+	switch {
+	case d.Ask > 0: // the call may have to wait for its turn
+		return 0
+	case d.Grace > 0:
+		return min(fetchTimeout, max(firstLeast, d.Grace/2))
+	}
+	return fetchTimeout
+}
+
 // FromTheStart, as a version to start from, asks for the whole list first.
 const FromTheStart = -1
 
@@ -230,7 +249,7 @@
 			err = fetch(ctx, transport, addr, &from, update)
 		}
 		if err == nil {
-			err = watch(ctx, transport, addr, watchSilence, &from, &d.ears, update)
+			err = watch(ctx, transport, addr, clocks{d.first(), watchSilence}, &from, &d.ears, update)
 		}
 		d.ears.ended()
 		if ctx.Err() != nil {
@@ -248,6 +267,7 @@
 	errSilent   = errors.New("nothing was heard for too long")
 	errNoList   = errors.New("the answer is no whole list")
 	errGoneBack = errors.New("the versions have gone back")
+	errHuge     = fmt.Errorf("a list of more than %d bytes", mostList)
 )
 
 // ask opens one of discovery's answers.
@@ -277,7 +297,7 @@
 	}
 	defer res.Body.Close()
 	var list EndpointList
-	if err := json.NewDecoder(res.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(&words{r: res.Body, tell: func() {}}).Decode(&list); err != nil {
 		return err
 	}
 	if !list.Whole {
@@ -289,34 +309,44 @@
 	return nil
 }
 
+// clocks are how long a watch may be silent: until its first list, 0: as later; and later.
+type clocks struct{ first, silence time.Duration }
+
 // watch follows discovery over one connection. A line that cannot be read ends it, and the next watch asks for
 // the same changes again: passing over the line could lose the word that a backend drains.
 //
-// Silence is what the watch keeps while somebody listens: if this process stood still, what it said meanwhile has come and waits.
-func watch(ctx context.Context, rt http.RoundTripper, addr string, silence time.Duration, from *int64, e *ears,
+// Silence is what the watch keeps while somebody listens: if this process stood still, what it said meanwhile has come and waits. What
+// breaks silence is an empty line, the beginning of a list or its end; a list that never ends is silence, however it drips.
+func watch(ctx context.Context, rt http.RoundTripper, addr string, may clocks, from *int64, e *ears,
 	update func(EndpointList)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	alarm := unread.Alarm(silence, func() time.Duration {
+	first := cmp.Or(may.first, may.silence)
+	alarm := unread.Alarm(first, func() time.Duration {
 		if e.silent() {
 			return 0
 		}
-		return silence
+		return may.silence
 	}, func() { cancel(errSilent) })
 	defer alarm.Stop()
 	res, err := ask(ctx, rt, fmt.Sprintf("http://%s/v1/endpoints?watch=1&from=%d", addr, *from))
 	if err != nil {
-		return err
+		return cmp.Or(context.Cause(ctx), err)
 	}
 	defer res.Body.Close()
-	lines := json.NewDecoder(heard{res.Body, func() {
-		alarm.Reset(silence)
-		e.change(func() { e.heard = time.Now() })
-	}})
+	begun := may.first == 0 // until its first list has begun, its empty lines count for nothing
+	in := &words{r: res.Body}
+	in.tell = func() {
+		if begun = begun || in.inside; begun {
+			alarm.Reset(may.silence)
+			e.change(func() { e.heard = time.Now() })
+		}
+	}
+	lines := json.NewDecoder(in)
 	for {
 		var list EndpointList
 		if err := lines.Decode(&list); err != nil {
-			return err
+			return cmp.Or(context.Cause(ctx), err)
 		}
 		if !list.Whole && list.Seq < *from { // discovery has begun anew: what changed before is not known here
 			*from = FromTheStart
@@ -326,19 +356,44 @@
 		update(list)
 		*from = list.Seq
 		e.change(func() { e.told = true })
+		in.whole(lines.Buffered())
 	}
 }
 
-// heard is a reader that tells of whatever comes, the empty lines among it.
-type heard struct {
-	io.Reader
-	tell func()
+// words is a reader of lists, one behind another with white space between them, that tells of each empty line, of each list's beginning and of
+// its end. A list may be indented, or come in pieces; one that is too long is an error.
+type words struct {
+	r      io.Reader
+	tell   func()
+	inside bool // a list has begun and is not whole
+	got    int  // bytes of it, or a little more
 }
 
-func (h heard) Read(p []byte) (int, error) {
-	n, err := h.Reader.Read(p)
-	if n > 0 {
-		h.tell()
+func (w *words) Read(p []byte) (int, error) {
+	n, err := w.r.Read(p)
+	w.came(p[:n])
+	if w.got > mostList {
+		return n, errHuge
 	}
 	return n, err
 }
+
+func (w *words) came(b []byte) {
+	if w.inside {
+		w.got += len(b)
+		return
+	}
+	if len(b) > 0 {
+		rest := bytes.TrimLeft(b, " \t\r\n")
+		w.inside, w.got = len(rest) > 0, len(rest)
+		w.tell()
+	}
+}
+
+// whole ends a list; behind is what has been read of what comes behind it.
+func (w *words) whole(behind io.Reader) {
+	w.inside, w.got = false, 0
+	w.tell()
+	b, _ := io.ReadAll(behind) // it is in memory
+	w.came(b)
+}
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"pumicecroft/internal/testkit"
+	"pumicecroft/membership"
 )
 
 const entry = `{"host":"s-1","dial":"127.0.0.1:%d","site":"a","class":"m2","block":3,"health":"%s","share":1.0,"born_ms":0}`
@@ -38,7 +41,7 @@
 	from := int64(41)
 	for want, wantSeq := range []int64{42, 42, 43} {
 		ctx, cancel := context.WithTimeout(t.Context(), testkit.Patient)
-		err := watch(ctx, &http.Transport{}, addr, time.Second, &from, &ears{}, func(l EndpointList) { lists <- l })
+		err := watch(ctx, &http.Transport{}, addr, clocks{silence: time.Second}, &from, &ears{}, func(l EndpointList) { lists <- l })
 		if err == nil || ctx.Err() != nil || from != wantSeq {
 			t.Errorf("watch %d ended with %v at version %d, want %d", want+1, err, from, wantSeq)
 		}
@@ -66,7 +69,7 @@
 		fmt.Fprintln(w, `{"seq":50,"whole":true,"hosts":[]}`)
 	})
 	from := int64(1)
-	err := watch(t.Context(), &http.Transport{}, addr, silence, &from, &ears{}, func(EndpointList) {})
+	err := watch(t.Context(), &http.Transport{}, addr, clocks{silence: silence}, &from, &ears{}, func(EndpointList) {})
 	if from != 50 {
 		t.Errorf("ended with %v at version %d", err, from)
 	}
@@ -282,3 +285,126 @@
 	defer d.mu.Unlock()
 	d.dead = true
 }
+
+// flushed writes to a watch, and says when that has gone.
+func flushed(w http.ResponseWriter, text string) {
+	io.WriteString(w, text)
+	w.(http.Flusher).Flush()
+}
+
+// A watch is held to be alive by whole words alone: not by a list that never ends, however it drips, and not by empty lines while the first
+// list is still owed. A list without a bound ends it too. What was heard before stays, and indented lists are lists.
+func TestWhatKeepsAWatchAlive(t *testing.T) {
+	drips := func(w http.ResponseWriter, r *http.Request, drop string) {
+		drip := time.NewTicker(5 * time.Millisecond)
+		defer drip.Stop()
+		for r.Context().Err() == nil {
+			flushed(w, drop)
+			<-drip.C
+		}
+	}
+	const indented = "{\n  \"seq\": 42,\n  \"whole\": true,\n\n  \"hosts\": [\n    " + entry + "\n  ]\n}\n\n"
+	for _, c := range []struct {
+		name  string
+		may   clocks
+		say   func(w http.ResponseWriter, r *http.Request)
+		err   error
+		heard int // lists
+	}{
+		{"a list that drips", clocks{silence: 200 * time.Millisecond}, func(w http.ResponseWriter, r *http.Request) {
+			flushed(w, fmt.Sprintf(indented, 7, "Ready")+`{"seq":43,"whole":false,"hosts":[`)
+			drips(w, r, " ")
+		}, errSilent, 1},
+		{"half a list behind a whole one", clocks{silence: 200 * time.Millisecond}, func(w http.ResponseWriter, r *http.Request) {
+			flushed(w, fmt.Sprintf(indented, 7, "Ready"))
+			flushed(w, `{"seq":43,"who`)
+			<-r.Context().Done()
+		}, errSilent, 1},
+		{"empty lines and no list", clocks{first: 200 * time.Millisecond, silence: testkit.Patient}, func(w http.ResponseWriter, r *http.Request) {
+			drips(w, r, "\n")
+		}, errSilent, 0},
+		{"no answer", clocks{first: 200 * time.Millisecond, silence: testkit.Patient}, func(w http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+		}, errSilent, 0},
+		{"a list without end", clocks{silence: testkit.Patient}, func(w http.ResponseWriter, r *http.Request) {
+			flushed(w, fmt.Sprintf(indented, 7, "Ready")+`{"seq":43,"whole":false,"hosts":[`)
+			for r.Context().Err() == nil {
+				flushed(w, strings.Repeat(" ", 1<<16))
+			}
+		}, errHuge, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), testkit.Patient/2)
+			defer cancel()
+			from, heard := int64(1), 0
+			addr := testkit.Serve(t, c.say)
+			err := watch(ctx, &http.Transport{DisableKeepAlives: true}, addr, c.may, &from, &ears{}, func(l EndpointList) {
+				heard++
+				if l.Hosts[0].Block != 3 {
+					t.Errorf("heard %+v", l)
+				}
+			})
+			if !errors.Is(err, c.err) || ctx.Err() != nil || heard != c.heard {
+				t.Errorf("ended with %v after %d lists, want %v after %d", err, heard, c.err, c.heard)
+			}
+		})
+	}
+}
+
+// A watch falls silent, and the one that is opened in its place says nothing either: what was told meanwhile is heard all the same
+// within 6 s of the silence, from when on it counts as told.
+func TestASecondSilentWatch(t *testing.T) {
+	t.Parallel()
+	n, last := atomic.Int64{}, make(chan time.Time, 1)
+	addr := testkit.Serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch n.Add(1) {
+		case 1:
+			flushed(w, fmt.Sprintf(`{"seq":42,"whole":true,"hosts":[`+entry+"]}\n", 7, "Ready"))
+			last <- time.Now()
+		case 2:
+		default:
+			flushed(w, fmt.Sprintf(`{"seq":43,"whole":false,"hosts":[`+entry+"]}\n", 7, "Terminating"))
+		}
+		<-r.Context().Done()
+	})
+	lists, ended := make(chan EndpointList, 10), make(chan bool)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		(&Discovery{Addr: addr, From: 41}).Follow(ctx, func(l EndpointList) { lists <- l })
+		close(ended)
+	}()
+	testkit.Await(t, lists, "the first list")
+	silent := testkit.Await(t, last, "the silence")
+	if l := testkit.Await(t, lists, "the drain"); l.Seq != 43 {
+		t.Errorf("heard %+v", l)
+	}
+	if late := time.Since(silent); late > 6*time.Second {
+		t.Errorf("the drain was heard %v after the silence", late)
+	}
+	cancel()
+	testkit.Await(t, ended, "the end")
+}
+
+// An entry that makes no sense changes nothing of its backend, in a whole list too, where a backend that is missing is gone.
+func TestAnEntryThatMakesNoSense(t *testing.T) {
+	at := func(time.Time) time.Duration { return 0 }
+	table := membership.NewTable(membership.Rules{}, membership.Origin{Name: "discovery", Plain: true})
+	list := func(hosts ...Endpoint) membership.List {
+		return EndpointList{Seq: 1, Whole: true, Hosts: hosts}.Members()
+	}
+	good := Endpoint{Host: "s-1", Dial: "127.0.0.1:1", Health: "Ready"}
+	table.Report(0, "discovery", list(good, Endpoint{Host: "s-2", Dial: "127.0.0.1:2", Health: "Ready"}), at)
+	for name, bad := range map[string]Endpoint{
+		"an unknown state":       {Host: "s-1", Dial: "127.0.0.1:1", Health: "Dozing"},
+		"a start before 1970":    {Host: "s-1", Dial: "127.0.0.1:1", Health: "Ready", BornMS: -1},
+		"no address to reach it": {Host: "s-1", Health: "Ready"},
+	} {
+		changes, _ := table.Report(0, "discovery", list(bad, Endpoint{Host: "s-2", Dial: "127.0.0.1:2", Health: "Ready"}), at)
+		if len(changes) > 0 {
+			t.Errorf("%s: %+v", name, changes)
+		}
+	}
+	if changes, _ := table.Report(0, "discovery", list(Endpoint{Host: "s-2", Dial: "127.0.0.1:2", Health: "Ready"}), at); len(changes) != 1 || changes[0].Name != "s-1" {
+		t.Errorf("without it: %+v", changes)
+	}
+}
--- a/internal/sim/door.go
+++ b/internal/sim/door.go
@@ -86,7 +86,7 @@
 		decider = &restless{gateway, d.w.chance(9, uint64(d.number), uint64(d.epoch)), len(d.r.backends), &d.r.over}
 	}
 	d.core = core.New(decider, set.Classes, core.Limits{Open: d.r.shape.mostOpen, Attempts: d.r.shape.mostAttempts, Ids: d.r.shape.mostIDs,
-		Remember: 15 * time.Second, Standstills: true}, d.w.now)
+		Remember: 15 * time.Second, Standstills: true, Grace: drainGrace}, d.w.now)
 	d.fleet = httpwire.NewFleet(d.r.shape.conns, d.r.shape.idle, nil)
 	d.out, d.held, d.links, d.open, d.alarms = map[*attempt]bool{}, nil, map[*link]bool{}, 0, [5]time.Duration{}
 	d.passed = map[keys.Entry]*ask{}
@@ -274,7 +274,7 @@
 		left++
 		d.w.after(0, func() { d.in(epoch, nil, func() { d.lists.watch.catchUp(d.w.now-e.Stood, done) }) })
 	}
-	d.w.after(core.CatchUpMost, func() { d.in(epoch, nil, func() { left = -1; caught() }) })
+	d.w.after(d.core.Times().CatchUp, func() { d.in(epoch, nil, func() { left = -1; caught() }) })
 	done()
 }
 
@@ -513,7 +513,7 @@
 	b := l.backend
 	l.sentAt = d.w.now
 	text, late := x.Text(nil, d.w.now)
-	if a := try.ask; late == nil && a != nil && d.w.now-try.decided > core.Fresh {
+	if a := try.ask; late == nil && a != nil && d.w.now-try.decided > d.core.Times().Fresh {
 		effects, may := d.core.Leaves(d.w.now, decision.RequestID(a.id), try.number)
 		if d.carry(effects); !may {
 			late = httpwire.ErrStale
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -37,6 +37,8 @@
 	Saved bool // with Whole: it is the list as last held before a restart, and may be old
 	Anew  bool // with Whole: its source began anew with other data; what it lacks may only not have come back yet
 	Nodes []Node
+	// Unclear names nodes of which the list says something that makes no sense: they stay as they were.
+	Unclear []string
 	// Failed says that the source can't be heard, and why; nothing else is looked at. What it said stays.
 	Failed error
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -220,7 +220,7 @@
 }
 
 // Report takes in what a source says. started turns a node's start into the table's time. Entries that make no
-// sense are passed over, and come back in bad; the rest counts. The changes are good until the next call.
+// sense change nothing, and come back in bad; the rest counts. The changes are good until the next call.
 func (t *Table) Report(now time.Duration, source string, l List, started func(time.Time) time.Duration) (changes []Change, bad []error) {
 	s := t.source(source)
 	t.begin(now, s)
@@ -234,9 +234,13 @@
 	o := &t.origins[s]
 	o.failed, o.saved = false, l.Whole && l.Saved || o.saved && !l.Whole
 	listed := map[string]bool{}
+	for _, name := range l.Unclear {
+		listed[name] = true
+	}
 	for _, n := range l.Nodes {
 		if err := n.Check(); err != nil {
 			bad = append(bad, err)
+			listed[n.Name] = true // it stays as it was
 			continue
 		}
 		if l.Whole {
--- a/recovery/recovery_test.go
+++ b/recovery/recovery_test.go
@@ -203,3 +203,24 @@
 		}
 	}
 }
+
+// Whatever a door does not notice, and whatever it may do by what it knew before, leaves within the grace for drains, however short.
+func TestTimesFitTheGrace(t *testing.T) {
+	for _, grace := range []time.Duration{0, leastGrace, 600 * time.Millisecond, time.Second, 2 * time.Second, time.Hour} {
+		x, within := TimesFor(grace), grace
+		if grace == 0 || grace > usualGrace {
+			within = usualGrace
+		}
+		if unseen := x.Pulse + x.Late + x.CatchUp; unseen > within || x.Fresh >= within/2 || min(x.Pulse, x.Late, x.Fresh, x.CatchUp) < leastGrace/8 {
+			t.Errorf("%v for a grace of %v", x, grace)
+		}
+	}
+	if x := TimesFor(usualGrace); x.Pulse != Pulse || x.Late != Late {
+		t.Errorf("%v for the usual grace", x)
+	}
+	s := Standstill{Times: TimesFor(time.Second)}
+	s.Seen(time.Second, 0, false)
+	if d := s.Seen(1900*time.Millisecond, 0, false); d == 0 {
+		t.Error("a door with a grace of 1 s did not notice 0.9 s")
+	}
+}
