A kept connection rests 25 ms after an answer: a second answer some milliseconds late

Ruled out: telling answers apart by their text (the protocol gives them no id). Change: httpwire.RestTime 25 ms, at most a quarter of the time that a connection is kept; where no further connection may be opened the longest rested one of the place is used (connpool.Limits.Least 6 ms), rather than none. webback keeps its own figure.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -20,6 +20,8 @@
 	// Rest is how long a connection rests after an answer before the next request may use it: what comes right behind an
 	// answer has mostly come by then, and marks the connection as unclean.
 	Rest time.Duration
+	// Least is how long it rests where as many connections as may be are there: then the longest idle one of a place, rather than none.
+	Least time.Duration
 }
 
 // Place is where connections of one backend's process at one address are kept. What belongs to another process or another
@@ -77,6 +79,11 @@
 		p.Drop(c)
 	}
 	if p.count >= p.limits.Most {
+		if !fresh && len(at.idle) > 0 && now-at.idle[0].since >= p.limits.Least {
+			c := at.idle[0]
+			p.unkeep(c)
+			return c, nil
+		}
 		if p.idle.Len() == 0 {
 			return nil, ErrFull
 		}
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -30,7 +30,7 @@
 // first; each connection is closed once and never given again; the bound holds; and at the end nothing is left.
 func TestAgainstAModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Most: rapid.IntRange(1, 4).Draw(t, "most"), IdleFor: 10, Rest: 3}
+		limits := Limits{Most: rapid.IntRange(1, 4).Draw(t, "most"), IdleFor: 10, Rest: 3, Least: time.Duration(rapid.IntRange(1, 3).Draw(t, "least"))}
 		p := New(limits)
 		m := &model{limits: limits, inUse: map[*Conn]*Place{}, closed: map[*Place]bool{}}
 		places := []*Place{{Addr: "a"}, {Addr: "b"}, {Addr: "a"}}
@@ -84,6 +84,11 @@
 						}
 					}
 				}
+				first := slices.IndexFunc(m.idle, func(k kept) bool { return k.at == at })
+				if !fresh && want == nil && m.count() >= limits.Most && first >= 0 && now-m.idle[first].t >= limits.Least {
+					want = m.idle[first].c
+					m.idle = slices.Delete(m.idle, first, first+1)
+				}
 				c, err := p.Take(now, at, fresh)
 				if c != want {
 					t.Fatalf("gives %v, want %v", c, want)
--- a/internal/httpwire/fleet.go
+++ b/internal/httpwire/fleet.go
@@ -13,8 +13,13 @@
 // close it: a request that crosses the close may have run.
 const idleShare = 0.6
 
-// RestTime is how long a kept connection rests after an answer; see connpool.Limits.
-const RestTime = 3 * time.Millisecond
+// RestTime is how long a kept connection rests after an answer; see connpool.Limits. A backend may answer a second time some milliseconds
+// behind the first (5 at the most, where it was measured), and what is on its way when the next request is written is taken for its answer.
+// LeastRest is what is left of that where no further connection may be opened.
+const (
+	RestTime  = 25 * time.Millisecond
+	LeastRest = 6 * time.Millisecond
+)
 
 // backend is one that is known.
 type backend struct {
@@ -33,8 +38,10 @@
 // NewFleet knows no backends yet. conns bounds the connections to all of them together, idle ones among them; a backend
 // closes one that was idle for so long; the columns are the settings' names of load figures.
 func NewFleet(conns int, idle time.Duration, loadColumns []string) *Fleet {
+	kept := time.Duration(idleShare * float64(idle))
+	rest := min(RestTime, kept/4) // a connection that is never used again costs more
 	return &Fleet{byID: map[decision.BackendID]*backend{}, readings: readings.New(loadColumns),
-		Pool: connpool.New(connpool.Limits{Most: conns, IdleFor: time.Duration(idleShare * float64(idle)), Rest: RestTime})}
+		Pool: connpool.New(connpool.Limits{Most: conns, IdleFor: kept, Rest: rest, Least: min(LeastRest, rest)})}
 }
 
 // Apply takes in what has changed about backends. It holds for every attempt that begins after it returns.
--- a/internal/webback/webback.go
+++ b/internal/webback/webback.go
@@ -113,7 +113,7 @@
 		}
 	}
 	return &Backends{config: c, faultLog: rate.Sometimes{First: 10, Interval: time.Second}, byID: map[decision.BackendID]*backend{},
-		pool: connpool.New(connpool.Limits{Most: c.Conns, IdleFor: c.Idle * 6 / 10, Rest: rest}), start: time.Now()}
+		pool: connpool.New(connpool.Limits{Most: c.Conns, IdleFor: c.Idle * 6 / 10, Rest: rest, Least: rest}), start: time.Now()}
 }
 
 // Apply takes in what has changed about backends. It holds for every attempt that begins after it returns.
