--- a/internal/sim/check.go
+++ b/internal/sim/check.go
@@ -12,7 +12,7 @@
 
 // The platform's figures (BRIEF 8, PROTOCOL).
 const (
-	drainGrace    = 2 * time.Second
+	usualGrace    = 2 * time.Second
 	coldFrom      = 0.2
 	warmWithin    = 14 * time.Second
 	platformFall  = 4.0
@@ -132,7 +132,25 @@
 }
 
 // leaves is an attempt whose first byte leaves a door.
-func (c *check) leaves(d *door, try *attempt) { c.drains(d, try, sendSlack) }
+func (c *check) leaves(d *door, try *attempt) {
+	c.drains(d, try, sendSlack)
+	a := try.ask
+	if a == nil || !a.leaves || d.goesOn(a) {
+		return
+	}
+	since := a.leftAt
+	for _, s := range d.stands { // a process that stood still learns of it once it goes on
+		if s[0] <= since+leaverSlack {
+			since = max(since, s[1])
+		}
+	}
+	if c.w.now > since+leaverSlack {
+		c.w.broken("who has left is sent nothing", "door %d sends ask %d %v after its client has left", d.number, a.number, c.w.now-a.leftAt)
+	}
+}
+
+// leaverSlack is how long a request may still leave once its client has.
+const leaverSlack = 300 * time.Millisecond
 
 // sendSlack is what sockets add to the limit.
 const sendSlack = 50 * time.Millisecond
@@ -143,7 +161,7 @@
 	if at, came := d.lists.arrived[name]; came && (!out || at < told) {
 		told, out = at, true
 	}
-	if out && c.w.now > told+drainGrace+slack {
+	if out && c.w.now > told+c.r.shape.grace+slack {
 		c.w.broken("drains are honoured", "door %d sends ask %d to %s, of which it was told %v before that it drains or is gone", d.number, try.ask.number,
 			name, c.w.now-told)
 	}
--- a/internal/sim/client.go
+++ b/internal/sim/client.go
@@ -30,11 +30,12 @@
 	timeout    time.Duration
 	tries      []*attempt
 	turnedAway bool
-	again      bool // its id was used before
-	tainted    bool // its key was, by a client that was not told that this is harmless
-	leaves     bool // its client has left
-	pressed    bool // its client pressed twice
-	retry      bool // of a refused one
+	again      bool          // its id was used before
+	tainted    bool          // its key was, by a client that was not told that this is harmless
+	leaves     bool          // its client has left
+	leftAt     time.Duration // then
+	pressed    bool          // its client pressed twice
+	retry      bool          // of a refused one
 	finals     int
 	verdict    string
 	reply      *httpwire.Answer // of the attempt that ended last before the final answer
@@ -153,7 +154,7 @@
 	if share := r.leaving[a.customer]; share > 0 {
 		if rng := r.chance(4, uint64(a.number)); rng.Float64() < share {
 			r.after(between(rng, 0, a.timeout), func() {
-				a.leaves = true
+				a.leaves, a.leftAt = true, r.now
 				d.in(epoch, a, func() {
 					if a.finals == 0 {
 						d.w.tell("the client of %d leaves", a.number)
--- a/internal/sim/door.go
+++ b/internal/sim/door.go
@@ -86,7 +86,7 @@
 		decider = &restless{gateway, d.w.chance(9, uint64(d.number), uint64(d.epoch)), len(d.r.backends), &d.r.over}
 	}
 	d.core = core.New(decider, set.Classes, core.Limits{Open: d.r.shape.mostOpen, Attempts: d.r.shape.mostAttempts, Ids: d.r.shape.mostIDs,
-		Remember: 15 * time.Second, Standstills: true, Grace: drainGrace}, d.w.now)
+		Remember: 15 * time.Second, Standstills: true, Grace: d.r.shape.grace}, d.w.now)
 	d.fleet = httpwire.NewFleet(d.r.shape.conns, d.r.shape.idle, nil)
 	d.out, d.held, d.links, d.open, d.alarms = map[*attempt]bool{}, nil, map[*link]bool{}, 0, [5]time.Duration{}
 	d.passed = map[keys.Entry]*ask{}
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -79,7 +79,14 @@
 	case b.meets(HangConn, l.number) || d.cutOff[b] > d.w.now:
 		finish(connectTimeout, nil, errHung)
 	default:
-		d.w.after(2*l.way, func() {
+		up := 2 * l.way
+		if b.meets(LateConn, l.number) {
+			if up = between(rng, up, 2*connectTimeout); up >= connectTimeout {
+				finish(connectTimeout, nil, errHung)
+				return cut
+			}
+		}
+		d.w.after(up, func() {
 			if over { // nobody waits for it any more
 				return
 			}
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -28,8 +28,9 @@
 	mostOpen, mostAttempts, mostIDs   int
 	forgets                           bool // so few ids that some are forgotten early
 	aim, deadline                     time.Duration
-	keys                              int  // bytes for keys at the edge; 0: none are recognised
-	journal                           bool // they are on disk
+	keys                              int           // bytes for keys at the edge; 0: none are recognised
+	journal                           bool          // they are on disk
+	grace                             time.Duration // for drains
 }
 
 // drawShape draws the size of a run.
@@ -41,6 +42,7 @@
 		restless:  rng.IntN(3) == 0, conns: []int{4, 16, 64}[rng.IntN(3)], descriptors: 1000, idle: []time.Duration{15 * time.Second, time.Second}[rng.IntN(2)],
 		aim: time.Second, deadline: 3 * time.Second,
 		dropsWaiting: rng.IntN(2) == 0, mostOpen: []int{4096, 4096, 30}[rng.IntN(3)], mostAttempts: []int{16, 16, 2}[rng.IntN(3)], mostIDs: 4096}
+	s.grace = []time.Duration{usualGrace, usualGrace, time.Second, 500 * time.Millisecond}[rng.IntN(4)]
 	if rng.IntN(2) == 0 { // a frailer fleet than the platform's
 		s.fallMultiple, s.fallFor = 2.5, time.Second
 	}
@@ -192,7 +194,7 @@
 	feed := class("feed", decision.Safe)
 	feed.Stream = true
 	s := decision.Settings{FrontDoors: r.shape.doors, Me: me, MaxAttempts: 3, CanCancel: r.shape.canCancel, MaxRetryAfter: time.Second, AnswerGrace: answerGrace,
-		DrainGrace: drainGrace, ColdFrom: coldFrom, WarmWithin: warmWithin, FallMultiple: r.shape.fallMultiple, FallFor: r.shape.fallFor, CanProbe: r.shape.restless,
+		DrainGrace: r.shape.grace, ColdFrom: coldFrom, WarmWithin: warmWithin, FallMultiple: r.shape.fallMultiple, FallFor: r.shape.fallFor, CanProbe: r.shape.restless,
 		Classes: []decision.Class{class("look", decision.Safe), class("pay", decision.Keyed), class("once", decision.Unsafe), feed},
 		Plans: []decision.Plan{{Name: "shop", Rate: 40, Burst: 60, Price: 1},
 			{Name: "flagship", Rate: 15, Burst: 20, Price: 2, CeilingRate: ceilingRate, CeilingBurst: ceilingBurst, CeilingSlack: ceilingSlack}}}
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -46,12 +46,13 @@
 	Press                     // clients press twice: the same key once more, at the same door, at once or later
 	Replay                    // clients ask with an id that they have used
 	Disk                      // the disk of a door's journal fails, is full, or is slow
+	LateConn                  // connections come up late, some after their attempt was given up
 	kinds
 )
 
 var kindNames = [kinds]string{"refuse-conn", "hang-conn", "break-unheard", "break-ran", "silence", "delay", "dribble", "spoil", "behind", "errors",
 	"turn-away", "slow", "partition", "descriptors", "drain", "restart", "move", "deregister", "pause", "kill", "kill-counting", "kill-answering",
-	"shutdown", "list-lag", "list-fail", "list-loss", "meter-loss", "flood", "leaving", "counter-loss", "press", "replay", "disk"}
+	"shutdown", "list-lag", "list-fail", "list-loss", "meter-loss", "flood", "leaving", "counter-loss", "press", "replay", "disk", "late-conn"}
 
 // String is the kind's name.
 func (k Kind) String() string { return kindNames[k] }
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -206,9 +206,13 @@
 	}{
 		{"a drain's grace", "drains are honoured", func(r *runner, past time.Duration, _ float64) {
 			d := r.doors[0]
-			d.lists.told["b0"], d.lists.byID[1] = r.now-drainGrace-past, "b0"
+			d.lists.told["b0"], d.lists.byID[1] = r.now-r.shape.grace-past, "b0"
 			r.check.started(d, &attempt{ask: &ask{class: "look", customer: 1}, backend: 1})
 		}},
+		{"a leaver's", "who has left is sent nothing", func(r *runner, past time.Duration, _ float64) {
+			r.now += time.Second
+			r.check.leaves(r.doors[0], &attempt{ask: &ask{class: "look", leaves: true, leftAt: r.now - leaverSlack - past}})
+		}},
 		{"an answer's time", "answers in time", func(r *runner, past time.Duration, _ float64) {
 			r.check.final(&ask{class: "look", door: r.doors[0], arrived: r.now - 500*ms - past, timeout: 500 * ms}, "failed", nil)
 		}},
