What a leaver waited for sends nothing; settings that can't be served name the key

Need: each wait of a request is to be shown to end with its client, and bad settings are to name the key. Change: leaving_test.go: over sockets, a connection that comes up late, the counter, and between two attempts, with and without bytes behind the request; wire.DecodeSettings checks deadlines, aims and graces by key (a grace below 0 was taken, and its class's aim and deadline were one error). Its first form failed once by itself: it went on before the step in which the client's leaving was heard had called the attempt off; it waits for that step now.

--- a/internal/platform/config_test.go
+++ b/internal/platform/config_test.go
@@ -49,6 +49,26 @@
 	}
 }
 
+// Settings that can't be served name the key.
+func TestBadSettingsNameTheKey(t *testing.T) {
+	for key, change := range map[string][2]string{
+		"deadline_us":            {`"deadline_us":60000000`, `"deadline_us":0`},
+		"goal_time_us":           {`"goal_time_us":20000000`, `"goal_time_us":-1`},
+		"key_ttl_us":             {`"key_ttl_us":5000000`, `"key_ttl_us":-5`},
+		"stop_sending_within_us": {`"obligations":{`, `"obligations":{"stop_sending_within_us":-1,`},
+		"grace_to_answer_us":     {`"obligations":{`, `"obligations":{"grace_to_answer_us":-1,`},
+		"max_retry_after_us":     {`"max_retry_after_us":500000`, `"max_retry_after_us":-500000`},
+		"meter_period_us":        {`"meter_period_us":500000`, `"meter_period_us":-1`},
+		"effect":                 {`"dedup"`, `"maybe"`},
+		"group":                  {`"group":"cell"`, `"group":"street"`},
+	} {
+		text := strings.Replace(testConfig, change[0], change[1], 1)
+		if _, err := ParseConfig([]byte(text)); text == testConfig || err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
+
 // Bad configuration is one clear line, not a front door that runs on defaults.
 func TestBadConfig(t *testing.T) {
 	for name, change := range map[string][2]string{
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -311,6 +311,9 @@
 	if err := json.Unmarshal(text, &p); err != nil {
 		return decision.Settings{}, Connections{}, fmt.Errorf("settings: %w", err)
 	}
+	if err := p.check(); err != nil {
+		return decision.Settings{}, Connections{}, fmt.Errorf("settings: %w", err)
+	}
 	s := decision.Settings{FrontDoors: p.Balancers, Me: p.Me, Zone: p.Zone, MeterPeriod: us(p.Family.Meter),
 		LargestUnits: p.Family.Largest, MaxAttempts: p.Limits.Attempts, ParallelTries: p.Limits.Parallel,
 		CanCancel: p.Limits.Cancel, CanProbe: p.Limits.Probes, AskForList: p.Discovery == "on_request",
@@ -324,7 +327,7 @@
 		effect, ok := effects[c.Effect]
 		group, ok2 := groups[c.Group]
 		if !ok || !ok2 {
-			return decision.Settings{}, Connections{}, fmt.Errorf("class %q has the effect %q and the group %q",
+			return decision.Settings{}, Connections{}, fmt.Errorf("settings: lanes: class %q has the effect %q and the group %q",
 				c.Name, c.Effect, c.Group)
 		}
 		s.Classes = append(s.Classes, decision.Class{Name: c.Name, Effect: effect, Group: group,
@@ -343,6 +346,30 @@
 	return s, conns, nil
 }
 
+// check tells of a time that can't be, by its key.
+func (p *params) check() error {
+	for _, c := range p.Lanes {
+		switch {
+		case c.Deadline <= 0:
+			return fmt.Errorf("lanes: class %q: deadline_us is %d, it has to be above 0", c.Name, c.Deadline)
+		case c.Aim <= 0:
+			return fmt.Errorf("lanes: class %q: goal_time_us is %d, it has to be above 0", c.Name, c.Aim)
+		case c.KeyTTL < 0:
+			return fmt.Errorf("lanes: class %q: key_ttl_us is %d, below 0", c.Name, c.KeyTTL)
+		}
+	}
+	d, l := &p.Duties, &p.Limits
+	for key, v := range map[string]int64{"obligations: stop_sending_within_us": d.Drain, "obligations: grace_to_answer_us": d.Grace,
+		"obligations: must_ask_in_us": d.Ask, "obligations: warm_within_us": d.Warm, "obligations: fall_us": d.Fall,
+		"policy_limits: max_retry_after_us": l.MaxAfter, "policy_limits: conn_idle_us": l.ConnIdle, "policy_limits: connect_timeout_us": l.Connect,
+		"family_info: meter_period_us": p.Family.Meter, "family_info: count_limit_us": p.Family.Limit} {
+		if v < 0 {
+			return fmt.Errorf("%s is %d, below 0", key, v)
+		}
+	}
+	return nil
+}
+
 // AppendAction writes one action of an instance as a line.
 func AppendAction(b *bytes.Buffer, door int, a decision.Action) {
 	switch a := a.(type) {
--- /dev/null
+++ b/leaving_test.go
@@ -0,0 +1,159 @@
+package pumicecroft
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"pumicecroft/decision"
+	"pumicecroft/internal/core"
+	"pumicecroft/internal/httpfront"
+	"pumicecroft/internal/testkit"
+)
+
+// noticing is a decision module that tells when it hears that a client has gone.
+type noticing struct {
+	core.Decider
+	left chan bool
+}
+
+func (n noticing) Handle(now time.Duration, ev decision.Event, as []decision.Action) []decision.Action {
+	as = n.Decider.Handle(now, ev, as)
+	if _, ok := ev.(decision.ClientGone); ok {
+		n.left <- true
+	}
+	return as
+}
+
+// startNoticing starts a Door behind the daemon's server whose decision module, the one that ships if none is given, tells of clients that go.
+func startNoticing(t *testing.T, config Config, decider core.Decider, options ...Option) (*served, chan bool) {
+	t.Helper()
+	if decider == nil {
+		g, err := decision.New(config.Settings, config.Seed, 24*time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decider = g
+	}
+	left := make(chan bool, 10)
+	door, err := newDoor(config, noticing{decider, left}, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	d := &served{addr: ln.Addr().String(), door: door, stop: stop, done: make(chan error, 1)}
+	go func() {
+		d.done <- httpfront.NewServer(door, 100, time.Minute, slog.New(slog.DiscardHandler), httpfront.Options{}).Run(ctx, ln)
+	}()
+	return d, left
+}
+
+// holding is a counter that answers when the test says so.
+type holding struct{ asked chan func(decision.Counted) }
+
+func (h holding) Add(c decision.Count, done func(decision.Counted)) {
+	h.asked <- func(a decision.Counted) { a.Ref = c.Ref; done(a) }
+}
+
+// A request that waits for something, and whose client leaves meanwhile, is sent to nobody when what it waited for is there: whatever it
+// waits for, and whatever its client had sent behind it.
+func TestWhatALeaverWaitedForSendsNothing(t *testing.T) {
+	for _, wait := range []string{"a connection that comes up late", "the counter", "the end of its first attempt"} {
+		for _, behind := range []string{"", "x"} {
+			t.Run(fmt.Sprintf("%s, %d bytes behind", wait, len(behind)), func(t *testing.T) {
+				came, waiting, goOn := make(chan string, 10), make(chan bool, 10), make(chan bool)
+				addr := testkit.Accept(t, func(conn net.Conn) {
+					text, _ := io.ReadAll(conn)
+					came <- string(text)
+				})
+				config, options := testConfig(), []Option(nil)
+				config.Known = ready(addr)
+				var decider core.Decider
+				switch wait {
+				case "a connection that comes up late":
+					options = append(options, WithDialer(func(_ context.Context, network, addr string) (net.Conn, error) {
+						waiting <- true
+						<-goOn // it comes up all the same, after the attempt was called off
+						return net.Dial(network, addr)
+					}))
+				case "the counter":
+					h := holding{make(chan func(decision.Counted), 10)}
+					config.Settings.SharedCounter = true
+					p := &config.Settings.Plans[0]
+					p.CeilingRate, p.CeilingBurst = 1, 60 // of which this door has nothing right after its start
+					options = append(options, WithCounter(h))
+					go func() {
+						select {
+						case answer := <-h.asked:
+							waiting <- true
+							<-goOn
+							answer(decision.Counted{Result: decision.Answered, Total: 20})
+							for { // what is put back
+								select {
+								case answer := <-h.asked:
+									answer(decision.Counted{Result: decision.Answered, Total: 20})
+								case <-t.Context().Done():
+									return
+								}
+							}
+						case <-t.Context().Done():
+						}
+					}()
+				default:
+					first := testkit.Raw(t, func(_ int, conn net.Conn) {
+						waiting <- true
+						<-goOn
+						io.WriteString(conn, "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+					})
+					config.Known = ready(first, addr)
+					decider = testkit.Script(func(ev decision.Event) []decision.Action { // it is sent once more, whatever became of it
+						switch ev := ev.(type) {
+						case decision.Request:
+							return []decision.Action{decision.Send{Request: ev.ID, Backend: 1}}
+						case decision.Outcome:
+							if ev.Attempt == 0 {
+								return []decision.Action{decision.Send{Request: ev.Request, Backend: 2}}
+							}
+						}
+						return nil
+					})
+				}
+				d, left := startNoticing(t, config, decider, options...)
+				conn := dial(t, d.addr)
+				if err := d.ask(t, "look", nil).Write(conn); err != nil {
+					t.Fatal(err)
+				}
+				testkit.Await(t, waiting, "it to wait")
+				io.WriteString(conn, behind)
+				conn.Close()
+				testkit.Await(t, left, "it to be seen that its client has left")
+				d.door.Open() // and what comes of that is done: it is one step
+				close(goOn)
+				patient, stop := context.WithTimeout(t.Context(), testkit.Patient)
+				defer stop()
+				if err := d.door.Close(patient); err != nil { // what was to leave has left
+					t.Error(err)
+				}
+				if wait == "a connection that comes up late" {
+					if text := testkit.Await(t, came, "the connection's end"); text != "" {
+						t.Errorf("sent on: %q", text)
+					}
+				}
+				select {
+				case text := <-came:
+					t.Errorf("sent on: %q", text)
+				default:
+				}
+			})
+		}
+	}
+}
