One start of a served Door for all tests of the root

Need: leaving_test.go started a Door behind the daemon's server as door_http_test.go does. Change: startServed serves both. Result: the tests are the same and pass.

--- a/door_http_test.go
+++ b/door_http_test.go
@@ -54,7 +54,13 @@
 	t.Helper()
 	config := testConfig()
 	config.Known = ready(addrs...)
-	door, err := newDoor(config, decider, nil)
+	return startServed(t, config, decider)
+}
+
+// startServed is startDoor for a configuration and options of the test's.
+func startServed(t testing.TB, config Config, decider core.Decider, options ...Option) *served {
+	t.Helper()
+	door, err := newDoor(config, decider, options)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/leaving_test.go
+++ b/leaving_test.go
@@ -4,14 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"testing"
 	"time"
 
 	"pumicecroft/decision"
 	"pumicecroft/internal/core"
-	"pumicecroft/internal/httpfront"
 	"pumicecroft/internal/testkit"
 )
 
@@ -40,21 +38,7 @@
 		decider = g
 	}
 	left := make(chan bool, 10)
-	door, err := newDoor(config, noticing{decider, left}, options)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	t.Cleanup(stop)
-	d := &served{addr: ln.Addr().String(), door: door, stop: stop, done: make(chan error, 1)}
-	go func() {
-		d.done <- httpfront.NewServer(door, 100, time.Minute, slog.New(slog.DiscardHandler), httpfront.Options{}).Run(ctx, ln)
-	}()
-	return d, left
+	return startServed(t, config, noticing{decider, left}, options...), left
 }
 
 // holding is a counter that answers when the test says so.
