The server's end waits for its listener's: Shutdown closed it twice, and the program ended with 1

Cause: Run closes the listener, and http.Server.Shutdown closes those that Serve has not yet let go of once more, which is an error (mine, of this issue: httpfront.Run). Ruled out: the signals (it had said 'configured anew'). Change: Run takes Serve's end before it goes on.

--- a/internal/httpfront/crossings_test.go
+++ b/internal/httpfront/crossings_test.go
@@ -288,3 +288,42 @@
 	table.note(near[1], http.StateActive)
 	testkit.Await(t, ended, "all others to have a request open")
 }
+
+// lingering is a listener whose Accept ends some time after its close.
+type lingering struct {
+	net.Listener
+	closed, letGo chan bool
+}
+
+func (l lingering) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		close(l.closed)
+		<-l.letGo
+	}
+	return c, err
+}
+
+// The server's end is no error, however late it is seen that its listener is closed.
+func TestAListenerThatEndsLate(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, done := lingering{ln, make(chan bool), make(chan bool)}, make(chan error, 1)
+	ctx, end := context.WithCancel(t.Context())
+	end()
+	go func() {
+		done <- NewServer(http.NotFoundHandler(), 5, 10*time.Second, slog.New(slog.DiscardHandler), Options{}).Run(ctx, l)
+	}()
+	testkit.Await(t, l.closed, "the listener's close")
+	select {
+	case err := <-done:
+		t.Fatalf("it ended before its listener: %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(l.letGo)
+	if err := testkit.Await(t, done, "the server's end"); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -104,7 +105,10 @@
 	s.ended.Store(true)
 	stop, cancel := context.WithTimeout(context.Background(), s.longest)
 	defer cancel()
-	_ = listener.Close() // Serve ends; Shutdown says what goes wrong
+	_ = listener.Close()
+	if err := <-ended; !errors.Is(err, net.ErrClosed) { // Serve has let go of the listener: Shutdown would close it once more, and say that it can't
+		s.log.Warn("the listener ended", "err", err)
+	}
 	s.conns.settle(stop)
 	return srv.Shutdown(stop)
 }
