--- a/review/standin/keys/main.go
+++ b/review/standin/keys/main.go
@@ -1,4 +1,4 @@
-// Command keys has the clients and the backends of case 1: six backends of one group that drop repeats of a key for
+// Command keys has the clients and the backends of the case about keys: six backends of one group that drop repeats of a key for
 // five seconds, and tills that send each activation with an idempotency key and repeat it after a refusal.
 package main
 
