--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Case 3: a gateway with [keys] before six backends, one of which hangs for 8 s. Exits with 1 if a key ran twice, 0 if
-# none did, 2 if the case could not run. TROUBLE=0: no backend hangs.
+# Case 3: a gateway of ordinary HTTP before eight backends that speak HTTP/2 and send trailers, of which one fails with
+# status 500. Exits with 1 if a client has no whole answer in time, 0 if all have one, 2 if the case could not run.
+# TROUBLE=0: no backend fails.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
@@ -16,8 +17,8 @@
 trap finish EXIT
 trap 'exit 2' INT TERM
 # shellcheck disable=SC2046 # one word a port
-set -- $(review/bin/ports 0 1 2 3 4 5 6)
-[ $# -eq 7 ] || exit 2
+set -- $(review/bin/ports 0 1 2 3 4 5 6 7 8)
+[ $# -eq 9 ] || exit 2
 listen=127.0.0.1:$1
 shift
 servers=
@@ -29,28 +30,15 @@
 cat >"$temp/shop.toml" <<END
 listen = "$listen"
 
-[door]
-max_retry_after = "500ms"
-
 [[service]]
 name = "shop"
+speaks = "h2"
 backends = [$quoted]
 
 [[class]]
 name = "shop"
 deadline = "2s"
 aim = "1s"
-group = "all"
-key_window = "5s"
-
-[[plan]]
-name = "everyone"
-rate = 100
-burst = 200
-
-[keys]
-keep = "1m"
-keep_doubt = "1m"
 END
 sh -c "trap '' HUP; exec bin/pumicecroft serve $temp/shop.toml" >"$temp/log" 2>&1 &
 gateway=$!
@@ -65,7 +53,7 @@
 done
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-review/bin/keys -gateway "$listen" -backends "$servers" -trouble=$trouble -record "$here/record.txt"
+review/bin/trailers -gateway "$listen" -backends "$servers" -trouble=$trouble -record "$here/record.txt"
 code=$?
 if ! kill -0 "$gateway" 2>/dev/null; then
 	echo "the gateway has ended" >&2
