httpproxy: the handler owns the response once its request has ended (crash by late 1xx)

Cause: golang.org/x/net/http2 forwards 1xx responses in the goroutine that reads the backend's connection, and RoundTrip does not wait for it. Proxy.forward closed the sink only when it returned, and wrote the gateway's own response to the same ResponseWriter before, without the sink's lock. Excluded: two attempts at once (the sink's lock orders them), the trace's counter (one goroutine for each attempt). A second way to the same crash: net/http's HTTP/2 server encodes the header of a 1xx response in a goroutine of its own, for which WriteHeader does not wait if the client has left, and WriteInformational changed the header after it. Change: responseSink.close hands the ResponseWriter back and says how far the response has come; forward calls it before it writes anything. A 1xx header has a Content-Length, which makes net/http encode a copy (it sends none). forward is split at writeReply. TestLateInformationalResponseIsDropped fails on the tree before in each of its three cases ([502 103] written, [502] wanted); TestClientsLeaveDuringEarlyHints crashed there in 5 of 7 runs, and raced in 6 of 7 under -race. With the first change alone it raced in 4 of 12 runs, with both in none of 24.

--- a/httpproxy/response.go
+++ b/httpproxy/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -11,15 +12,26 @@
 	"pumicecroft/internal/httpproxytransport"
 )
 
-// responseSink streams a backend's response to the client. An attempt may end shortly after its
-// request, so nothing is written any more after close. It is safe for concurrent use.
+// responseProgress is how much of a response was written to the client.
+type responseProgress uint8
+
+const (
+	responseNotStarted responseProgress = iota // 1xx responses at most
+	responseStarted                            // the header, and maybe a part of the body
+	responseComplete
+)
+
+// responseSink streams a backend's response to the client. An attempt may use it for longer than its
+// request lasts: for a moment after it was cancelled, and over HTTP/2 until the goroutine that reads the
+// backend's connection has left WriteInformational. As an http.ResponseWriter is not safe for concurrent
+// use, the attempts own it until close, and the handler owns it afterwards. The methods of Sink do
+// nothing after close. responseSink is safe for concurrent use.
 type responseSink struct {
 	w      http.ResponseWriter
 	http10 bool // the client speaks HTTP/1.0, which has no 1xx responses (RFC 9110, 15.2)
 
 	mu       sync.Mutex
-	started  bool
-	complete bool
+	progress responseProgress
 	closed   bool
 }
 
@@ -34,17 +46,10 @@
 func (s *responseSink) WriteInformational(status int, h http.Header) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.started || s.http10 {
+	if s.closed || s.progress != responseNotStarted || s.http10 {
 		return
 	}
-	header := s.w.Header()
-	saved := header.Clone()
-	http1proxy.CopyResponseHeader(header, h)
-	s.w.WriteHeader(status)
-	clear(header)
-	for name, values := range saved {
-		header[name] = values
-	}
+	writeInformational(s.w, status, h)
 }
 
 // WriteHeader begins the response.
@@ -54,7 +59,7 @@
 	if s.closed {
 		return
 	}
-	s.started = true
+	s.progress = responseStarted
 	// A client that does not read its response is disconnected writeGrace after the attempt's deadline.
 	// A ResponseWriter wrapped by the embedding program may not support deadlines: then only that
 	// program's own timeout applies.
@@ -85,30 +90,38 @@
 func (s *responseSink) WriteTrailer(h http.Header) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.closed {
-		s.complete = true
-		setTrailers(s.w, h)
-		_ = http.NewResponseController(s.w).SetWriteDeadline(time.Time{})
+	if s.closed {
+		return
 	}
+	s.progress = responseComplete
+	setTrailers(s.w, h)
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Time{})
 }
 
-func (s *responseSink) hasStarted() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.started
-}
-
-func (s *responseSink) isComplete() bool {
+// close ends the use of the ResponseWriter by attempts, and returns how much of the response they have
+// written. The handler must not use the ResponseWriter before. close waits for a write in progress, which
+// the write deadline limits. Repeated calls return the same value.
+func (s *responseSink) close() responseProgress {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.complete
+	s.closed = true
+	return s.progress
 }
 
-// close prevents any further writes. It waits for a write in progress, which the write deadline limits.
-func (s *responseSink) close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
+// writeInformational writes a 1xx response, and leaves the header of the final response as it was.
+//
+// The HTTP/2 server of net/http encodes the header of a 1xx response in a goroutine of its own, and
+// WriteHeader does not wait for that goroutine if the client has left. Changing the header afterwards would
+// be a data race. If the header has a Content-Length, which a 1xx response must not have (RFC 9110, 8.6),
+// net/http encodes a copy without it.
+func writeInformational(w http.ResponseWriter, status int, h http.Header) {
+	header := w.Header()
+	saved := header.Clone()
+	http1proxy.CopyResponseHeader(header, h)
+	header["Content-Length"] = nil
+	w.WriteHeader(status)
+	clear(header)
+	maps.Copy(header, saved)
 }
 
 // setResponseHeader copies a response's fields to the client's.
--- a/httpproxy/serve.go
+++ b/httpproxy/serve.go
@@ -93,17 +93,25 @@
 	} else {
 		sink = &responseSink{w: w, http10: !r.ProtoAtLeast(1, 1)}
 		payload.Sink = sink
-		defer sink.close()
+		defer sink.close() // Forward may panic
 	}
 	reply, err := p.gateway.Forward(r.Context(), request, payload)
-	if sink != nil && sink.hasStarted() {
-		if !sink.isComplete() { // the client must see that the response is truncated
-			_ = sink.WriteBody(nil, true) // flushes the part that has arrived
-			sink.close()
+	if sink != nil {
+		switch sink.close() {
+		case responseComplete:
+			return
+		case responseStarted: // the client must see that the response is truncated
+			_ = http.NewResponseController(w).Flush() // sends the part that has arrived
 			panic(http.ErrAbortHandler)
+		case responseNotStarted:
 		}
-		return
 	}
+	p.writeReply(w, r, resolved, payload, reply, err)
+}
+
+// writeReply writes the result of Gateway.Forward for a request whose response was not streamed.
+func (p *Proxy) writeReply(w http.ResponseWriter, r *http.Request, resolved *ResolvedRequest,
+	payload *httpproxytransport.Request, reply any, err error) {
 	response, _ := reply.(*httpproxytransport.Response)
 	switch {
 	case response != nil && (err == nil || errors.Is(err, pumicecroft.ErrFailed)): // on ErrFailed, an error response
