grpcproxy: an attempt that outlasts its call no longer writes to the call's stream

What callers saw: a gateway with attempts that are not cancelled with their requests (cancel = false, or a library's settings without CanCancel) ended with "panic: send on closed channel" when a client left its gRPC stream while the backend still sent. The call's handler closed the sink's channel of messages when it returned, and the attempt went on sending to it; whether the response had started was read without a lock. Change: responseSink.close ends the use of the stream and says whether the response has started; writes after it return an error. The channel of messages is never closed. The fake backend can pause between two messages of a stream.

--- a/grpcproxy/disconnect_test.go
+++ b/grpcproxy/disconnect_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
 
 	"pumicecroft/internal/fakes"
 	"pumicecroft/internal/testkit"
@@ -56,3 +60,87 @@
 		})
 	}
 }
+
+// Guards against a crash with "send on closed channel": the client of a streaming call leaves, the attempt
+// is not cancelled with its request (Settings.CanCancel is false), and the backend sends another message
+// after the call has ended. The attempt must end without using the call's stream, and other calls must be
+// served.
+func TestClientLeavesStreamThatIsNotCancelled(t *testing.T) {
+	ended := make(chan struct{})
+	r := newFixture(t, func(o *options) {
+		o.settings.CanCancel = false
+		o.behavior = firstThen(fakes.GRPCStreamPause, fakes.GRPCServe)
+		o.afterMessage = func(fakes.Attempt) { <-ended }
+		o.newServer = func(p *Proxy) *grpc.Server {
+			var first sync.Once
+			return grpc.NewServer(grpc.ForceServerCodecV2(Codec()),
+				grpc.UnknownServiceHandler(func(srv any, stream grpc.ServerStream) error {
+					defer first.Do(func() { close(ended) })
+					return p.Handle(srv, stream)
+				}))
+		}
+	})
+	c := r.call("Watch")
+	ctx, leave := c.context(t.Context())
+	defer leave()
+	s, err := r.client.NewStream(ctx, serverStreamDesc, c.method)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var message framedMessage
+	if err := errors.Join(s.SendMsg(frame(c.text)), s.CloseSend(), s.RecvMsg(&message)); err != nil {
+		t.Fatal(err)
+	}
+	leave()
+	testkit.Await(t, ended, "the end of the call at the gateway")
+	await(t, "the end of all open requests", func() bool { return r.gateway.OpenRequests() == 0 })
+	if res := r.do(r.call("Look")); res.st.Code() != codes.OK {
+		t.Errorf("another call: got %v, want %v", res.st, codes.OK)
+	}
+}
+
+// An attempt that outlasts its call must get an error from the sink, and must not use the call's stream,
+// whether or not the response had started.
+func TestResponseSinkAfterCallEnded(t *testing.T) {
+	for name, startResponse := range map[string]bool{"response started": true, "response not started": false} {
+		t.Run(name, func(t *testing.T) {
+			stream := &countingStream{}
+			sink := newResponseSink(stream)
+			if startResponse {
+				sink.WriteHeader(nil)
+				if err := sink.WriteMessage(t.Context(), frame("first")); err != nil {
+					t.Fatal(err)
+				}
+			}
+			calls := stream.calls.Load()
+			if started := sink.close(); started != startResponse {
+				t.Errorf("close() = %t, want %t", started, startResponse)
+			}
+			if !startResponse {
+				sink.WriteHeader(nil)
+			}
+			if err := sink.WriteMessage(t.Context(), frame("late")); !errors.Is(err, errCallEnded) {
+				t.Errorf("WriteMessage after close: got %v, want %v", err, errCallEnded)
+			}
+			if n := stream.calls.Load() - calls; n != 0 {
+				t.Errorf("%d calls of the stream after close, want 0", n)
+			}
+		})
+	}
+}
+
+// countingStream is a grpc.ServerStream that counts how often headers and messages are sent.
+type countingStream struct {
+	grpc.ServerStream
+	calls atomic.Int32
+}
+
+func (s *countingStream) SetHeader(metadata.MD) error {
+	s.calls.Add(1)
+	return nil
+}
+
+func (s *countingStream) SendMsg(any) error {
+	s.calls.Add(1)
+	return nil
+}
--- a/grpcproxy/message.go
+++ b/grpcproxy/message.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -91,47 +92,98 @@
 	return fmt.Errorf("%w: %s", pumicecroft.ErrBadRequest, st.Message())
 }
 
+// errCallEnded ends an attempt that writes to a responseSink whose call has ended.
+var errCallEnded = errors.New("grpcproxy: the call has ended")
+
 // responseSink streams a response to the client. SendMsg blocks while the client does not read and
-// cannot be cancelled, so it is called in a goroutine of its own. That goroutine ends with the call.
+// cannot be cancelled, so it is called in a goroutine of its own. That goroutine ends with the call. An
+// attempt may use the sink for longer than its call lasts, so its methods do nothing after close.
 type responseSink struct {
 	stream   grpc.ServerStream
-	started  bool
 	messages chan framedMessage
-	results  chan error // results of SendMsg, one for each message
+	results  chan error    // results of SendMsg, one for each message
+	ended    chan struct{} // closed by close
+
+	mu      sync.Mutex
+	started bool
+	closed  bool
+}
+
+func newResponseSink(stream grpc.ServerStream) *responseSink {
+	return &responseSink{
+		stream:   stream,
+		messages: make(chan framedMessage),
+		results:  make(chan error, 1),
+		ended:    make(chan struct{}),
+	}
 }
 
 // WriteHeader sets the response headers and starts the goroutine that sends messages.
 func (s *responseSink) WriteHeader(fields []grpctransport.Field) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
 	s.started = true
-	s.messages, s.results = make(chan framedMessage), make(chan error, 1)
 	err := s.stream.SetHeader(toMetadata(fields))
-	go func() {
-		for message := range s.messages {
+	go s.sendMessages(err)
+}
+
+// sendMessages sends messages until close. err is the result of setting the headers; if it is not nil,
+// it is the result of each message.
+func (s *responseSink) sendMessages(err error) {
+	for {
+		select {
+		case message := <-s.messages:
 			if err == nil {
 				err = s.stream.SendMsg(message)
 			}
 			s.results <- err
+		case <-s.ended:
+			return
 		}
-	}()
+	}
 }
 
-// WriteMessage sends a message. It blocks until the connection has accepted it or ctx ends.
+// WriteMessage sends a message. It blocks until the connection has accepted it, ctx ends or the call
+// has ended.
 func (s *responseSink) WriteMessage(ctx context.Context, message []byte) error {
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
-	s.messages <- message
+	if s.isClosed() {
+		return errCallEnded
+	}
+	select {
+	case s.messages <- message:
+	case <-s.ended:
+		return errCallEnded
+	}
 	select {
 	case err := <-s.results:
 		return err
 	case <-ctx.Done():
 		return context.Cause(ctx)
+	case <-s.ended:
+		return errCallEnded
 	}
 }
 
-// close stops the goroutine that sends messages.
-func (s *responseSink) close() {
-	if s.started {
-		close(s.messages)
+func (s *responseSink) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// close ends the use of the stream by attempts, and reports whether the response has started. Repeated
+// calls report the same.
+func (s *responseSink) close() (started bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.closed = true
+		close(s.ended)
 	}
+	return s.started
 }
--- a/grpcproxy/serve.go
+++ b/grpcproxy/serve.go
@@ -75,16 +75,17 @@
 	request pumicecroft.Request) error {
 	var sink *responseSink
 	if method.Streaming {
-		sink = &responseSink{stream: stream}
-		defer sink.close()
+		sink = newResponseSink(stream)
+		defer sink.close() // Forward may panic
 		payload.Sink = sink
 	}
 	reply, err := p.gateway.Forward(ctx, request, payload)
+	started := sink != nil && sink.close()
 	response, _ := reply.(*grpctransport.Response)
 	if err != nil {
 		return p.fail(stream, method, response, err)
 	}
-	if sink == nil || !sink.started {
+	if !started {
 		if err := stream.SetHeader(toMetadata(response.Header)); err != nil {
 			return err
 		}
--- a/internal/fakes/grpc.go
+++ b/internal/fakes/grpc.go
@@ -36,6 +36,7 @@
 	GRPCStreamHang                            // headers, one message, then nothing
 	GRPCStreamInternal                        // headers, one message, status 13
 	GRPCEndless                               // messages of GRPCEndlessBytes until the client ends the stream
+	GRPCStreamPause                           // headers, one message, a pause of AfterMessage, another message, status 0
 )
 
 // GRPCEndlessBytes is the length of each message of GRPCEndless.
@@ -65,7 +66,7 @@
 	// message stalls. 0 means HTTP/2's default window, which is updated when data arrives.
 	Window uint32
 	// AfterMessage, unless nil, is called after the message of GRPCResetAfterMessage, GRPCStreamClose, GRPCStreamHang
-	// and GRPCStreamInternal.
+	// and GRPCStreamInternal, and after the first one of GRPCStreamPause.
 	AfterMessage func(Attempt)
 
 	// execute, unless nil, makes the backend respond like a Backend. All other fields but MaxStreams and Window are
--- a/internal/fakes/grpcresponse.go
+++ b/internal/fakes/grpcresponse.go
@@ -143,6 +143,11 @@
 		c.writeMessage(s, done, true)
 	case GRPCStreamClose, GRPCStreamHang, GRPCStreamInternal:
 		c.failAfterMessage(s, attempt, behavior)
+	case GRPCStreamPause:
+		c.writeMessage(s, done, false)
+		c.afterMessage(attempt)
+		c.writeMessage(s, done, false)
+		c.writeHeaders(s, true, statusOK)
 	case GRPCEndless:
 		for s.ctx.Err() == nil {
 			c.writeMessage(s, string(make([]byte, GRPCEndlessBytes)), false)
