Effects: the stricter of a class's and its route's holds (unsafe routes ran twice)

Cause: the engine retries by the class that a request names. A class with an effect had itself alone as its variant, and httpproxy.Classes.forIdempotency falls back from the stricter class that is missing to the one that is there. That is meant for the effect that follows from a method; a route's was lost with it. Of the nine pairs three lost the stricter one: safe before keyed, safe before unsafe, keyed before unsafe. Excluded: the engine and lifecycle (they kept to the class they were given), the transport's results. Change: a class has a variant for each stricter effect that one of its routes has (classes.go of operatorconfig, with what was in three files before). SetRules refuses a route whose requests could take a class that permits more retries than Route.Idempotency, for programs that name classes themselves. A class with the name of another's variant is refused, as one would lose its effect. Routes are read before sources, so that the check of Consul's zones and cells sees keyed variants. "routes FILE POST /pay" says "class shop (once): never repeated once it may have run".

--- a/decision/settings.go
+++ b/decision/settings.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// Idempotency says whether a request of a class may be executed more than once. The zero value is
-// Idempotent.
+// Idempotency says whether a request of a class may be executed more than once. The values are ordered:
+// a higher one is stricter. The zero value is Idempotent.
 type Idempotency uint8
 
 // The values of Idempotency.
--- a/httpproxy/proxy.go
+++ b/httpproxy/proxy.go
@@ -108,7 +108,8 @@
 // Classes are the names of the request classes of a route, by idempotency. If the class for a request
 // is empty, the request takes the next class that is not empty in the order Idempotent,
 // IdempotentByKey, NonIdempotent: a later one permits fewer retries, so that a request is not retried
-// more freely than its idempotency allows. If no later class is set, it takes the nearest earlier one.
+// more freely than its idempotency allows. If no later class is set, it takes the nearest earlier one,
+// which SetRules permits only if the idempotency is that of the request's method.
 type Classes struct{ Idempotent, IdempotentByKey, NonIdempotent string }
 
 // forIdempotency returns the class for requests of the given idempotency. It is empty only if all
@@ -133,7 +134,8 @@
 	Service string
 	// Class has the names of the requests' classes.
 	Class Classes
-	// Idempotency overrides the idempotency of the request's method. nil means no override.
+	// Idempotency overrides the idempotency of the request's method. nil means no override. If it is
+	// stricter than that of the class that a request would take, the rules are invalid.
 	Idempotency *decision.Idempotency
 	// Cost is the amount that a request takes from its customer's quota. 0 means 1.
 	Cost float64
@@ -231,8 +233,8 @@
 	headers http1proxy.HeaderForwarder
 }
 
-// ErrInvalidRules means that rules are incomplete, have invalid statuses, or name a class, plan or
-// service that the Gateway does not have.
+// ErrInvalidRules means that rules are incomplete, have invalid statuses, name a class, plan or service
+// that the Gateway does not have, or have a route whose class permits more retries than its Idempotency.
 var ErrInvalidRules = errors.New("httpproxy: invalid rules")
 
 // New returns a Proxy for a Gateway that was created with WithService for each service in c.Rules.
@@ -327,6 +329,9 @@
 	if target.Class.forIdempotency(decision.NonIdempotent) == "" {
 		problems = append(problems, fmt.Errorf("%w: route %q has no class", ErrInvalidRules, rule.Name))
 	}
+	if err := p.checkIdempotency(rule); err != nil {
+		problems = append(problems, err)
+	}
 	if !p.gateway.SupportsProtocol(Protocol(target.Service)) {
 		problems = append(problems, fmt.Errorf("%w: route %q has unknown service %q", ErrInvalidRules, rule.Name,
 			target.Service))
@@ -336,3 +341,21 @@
 	}
 	return problems
 }
+
+// checkIdempotency returns an error that wraps ErrInvalidRules if a request of a route could take a class
+// that permits more retries than Route.Idempotency. Requests without an idempotency key take the class
+// NonIdempotent, if it is set.
+func (p *Proxy) checkIdempotency(rule *routes.Rule[*Route]) error {
+	target := rule.Target
+	if target.Idempotency == nil {
+		return nil
+	}
+	for _, name := range []string{target.Class.forIdempotency(*target.Idempotency), target.Class.NonIdempotent} {
+		class := p.classes[name]
+		if class != nil && class.Idempotency < *target.Idempotency {
+			return fmt.Errorf("%w: route %q: class %q permits more retries than the route's idempotency",
+				ErrInvalidRules, rule.Name, name)
+		}
+	}
+	return nil
+}
--- a/internal/operatorconfig/file.go
+++ b/internal/operatorconfig/file.go
@@ -4,9 +4,9 @@
 // no sockets; callers read the files that an operator's file names.
 //
 // The file's keys have names of their own, which operators rely on ("door" is the gateway). Only this
-// package maps them to the terms of the code. file.go parses the gateway, classes and plans;
-// sources.go the sources of backends; http.go, services.go, routes.go and identities.go HTTP; grpc.go
-// gRPC; and idempotency.go idempotency keys.
+// package maps them to the terms of the code. file.go parses the gateway and plans; classes.go
+// classes; sources.go the sources of backends; http.go, services.go, routes.go and identities.go HTTP;
+// grpc.go gRPC; and idempotency.go idempotency keys.
 package operatorconfig
 
 import (
@@ -56,8 +56,7 @@
 	// HTTP is nil if the file has no services: requests on Listen then use the platform's headers.
 	HTTP *HTTP
 
-	// classes are the classes before those without an idempotency of their own, which take that of the
-	// request's method, are split into variants, one for each idempotency.
+	// classes are the classes before they are split into variants, one for each idempotency.
 	classes []class
 }
 
@@ -84,8 +83,9 @@
 	readServices(root, &f)
 	readClasses(d, root, &f)
 	readPlans(d, root, &f)
-	readSources(d, root, &f)
 	readHTTP(d, root, &f)
+	checkVariantNames(d, &f)
+	readSources(d, root, &f)
 	if s := root.Table("grpc"); s.Keys != nil {
 		f.GRPC = readGRPC(s, &f)
 	}
@@ -147,12 +147,6 @@
 	return httpproxy.Protocol(name)
 }
 
-// readEffect reads the idempotency of a class or route, whose key is "effect".
-func readEffect(s *settings.Section) decision.Idempotency {
-	// The names are ordered like the type's constants.
-	return decision.Idempotency(s.OneOf("effect", "safe", "safe", "keyed", "unsafe"))
-}
-
 // readGateway reads [door].
 func readGateway(s *settings.Section, f *File) {
 	set, c := &f.Gateway.Settings, &f.Gateway
@@ -185,58 +179,6 @@
 	s.RejectUnknownKeys()
 }
 
-// readClass reads the settings of a class that [[class]] and [[service]] have in common.
-func readClass(s *settings.Section, name string) decision.Class {
-	c := decision.Class{Name: name}
-	// The names of scopes are ordered like the type's constants.
-	c.DedupScope = decision.DedupScope(s.OneOf("group", "all", "all", "zone", "cell"))
-	c.DedupWindow = s.Duration("key_window", 0, 0, day)
-	c.Deadline = s.Duration("deadline", 10*time.Second, time.Millisecond, time.Hour)
-	c.LatencyObjective = s.Duration("aim", c.Deadline/2, time.Millisecond, time.Hour)
-	c.PriorityWeight = s.Float("worth", 1, 0, unbounded)
-	c.LateWeightFactor = s.Float("late_worth", 0, 0, 1)
-	if c.LatencyObjective > c.Deadline {
-		s.Problemf("aim", "%v is over the deadline of %v", c.LatencyObjective, c.Deadline)
-	}
-	return c
-}
-
-// readClasses reads [[class]]. It must be called after the services were read: a [[class]] replaces the
-// class that a [[service]] of the same name has created. A class whose idempotency is that of the
-// request's method is split into variants, one for each idempotency.
-func readClasses(d *settings.Document, root *settings.Section, f *File) {
-	set := &f.Gateway.Settings
-	seen := map[string]bool{}
-	for _, s := range root.List("class") {
-		c := class{Class: readClass(s, s.String("name", true))}
-		checkUniqueName(seen, s, c.Name)
-		_, hasIdempotency := s.Get("effect")
-		c.byMethod = f.HTTP != nil && !hasIdempotency
-		c.Idempotency = readEffect(s)
-		if c.Idempotency == decision.IdempotentByKey && c.DedupWindow == 0 {
-			s.Problemf("key_window",
-				"a keyed class needs it: the time for which backends of a group drop repeated requests")
-		}
-		s.RejectUnknownKeys()
-		if i := slices.IndexFunc(f.classes, func(o class) bool { return o.Name == c.Name }); i >= 0 {
-			f.classes[i] = c
-		} else {
-			f.classes = append(f.classes, c)
-		}
-	}
-	for _, c := range f.classes {
-		if !c.byMethod {
-			set.Classes = append(set.Classes, c.Class)
-			continue
-		}
-		variants, _ := classVariants(c.Class)
-		set.Classes = append(set.Classes, variants...)
-	}
-	if len(set.Classes) == 0 {
-		d.Problemf("", "class", "at least one [[class]] with a name is required")
-	}
-}
-
 // readPlans reads [[plan]]. A file with services and without plans gets one plan that has no quota.
 func readPlans(d *settings.Document, root *settings.Section, f *File) {
 	set := &f.Gateway.Settings
--- a/internal/operatorconfig/routes.go
+++ b/internal/operatorconfig/routes.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"pumicecroft/decision"
 	"pumicecroft/httpproxy"
 	"pumicecroft/internal/settings"
 	"pumicecroft/routes"
@@ -19,7 +18,6 @@
 // readRoutes reads [[route]], after services and classes. Without routes, all requests go to the only
 // service.
 func readRoutes(d *settings.Document, root *settings.Section, f *File) {
-	classes := classNames(f.classes)
 	list := root.List("route")
 	for i, s := range list {
 		rule := routes.Rule[*httpproxy.Route]{
@@ -40,36 +38,17 @@
 		}
 		rule.Target.RejectStatus = s.Int("refuse", 0, 400, 599)
 		if rule.Target.RejectStatus == 0 {
-			readTarget(s, f.HTTP, classes, rule.Target)
+			readTarget(s, f, rule.Target)
 		}
 		s.RejectUnknownKeys()
 		f.HTTP.Routes = append(f.HTTP.Routes, rule)
 	}
 	if len(list) == 0 {
-		addDefaultRoute(d, f.HTTP, classes)
+		addDefaultRoute(d, f)
 	}
 	compileRoutes(d, f.HTTP, len(list) > 0)
 }
 
-// classNames returns the names of the variants of each class, by the name of the class. A class with
-// an idempotency of its own is its only variant.
-func classNames(classes []class) map[string]httpproxy.Classes {
-	names := map[string]httpproxy.Classes{}
-	for _, c := range classes {
-		switch {
-		case c.byMethod:
-			_, names[c.Name] = classVariants(c.Class)
-		case c.Idempotency == decision.Idempotent:
-			names[c.Name] = httpproxy.Classes{Idempotent: c.Name}
-		case c.Idempotency == decision.IdempotentByKey:
-			names[c.Name] = httpproxy.Classes{IdempotentByKey: c.Name}
-		default:
-			names[c.Name] = httpproxy.Classes{NonIdempotent: c.Name}
-		}
-	}
-	return names
-}
-
 // readConditions reads conditions such as "X-Beta=1", or "X-Beta" for any value.
 func readConditions(s *settings.Section, key string) (conditions []routes.Condition) {
 	for _, text := range s.Strings(key) {
@@ -81,7 +60,8 @@
 
 // readTarget reads the service, class and limits of a route's requests. The default of the service is
 // the only service, and that of the class is the service's class.
-func readTarget(s *settings.Section, h *HTTP, classes map[string]httpproxy.Classes, target *httpproxy.Route) {
+func readTarget(s *settings.Section, f *File, target *httpproxy.Route) {
+	h := f.HTTP
 	target.Service = s.String("service", len(h.Services) > 1)
 	if target.Service == "" && len(h.Services) > 0 {
 		target.Service = h.Services[0].Name
@@ -90,18 +70,19 @@
 	if !known {
 		s.Problemf("service", "there is no service %q", target.Service)
 	}
-	class := s.String("class", false)
-	if class == "" {
-		class = target.Service
-	}
-	var ok bool
-	if target.Class, ok = classes[class]; !ok && known {
-		s.Problemf("class", "there is no class %q", class)
-	}
 	if _, ok := s.Get("effect"); ok {
 		idempotency := readEffect(s)
 		target.Idempotency = &idempotency
 	}
+	name := s.String("class", false)
+	if name == "" {
+		name = target.Service
+	}
+	if c := f.findClass(name); c != nil {
+		target.Class = f.addVariants(c, target.Idempotency)
+	} else if known {
+		s.Problemf("class", "there is no class %q", name)
+	}
 	target.Cost = s.Float("units", 0, 0, unbounded)
 	target.Timeout = s.Duration("timeout", 0, time.Millisecond, time.Hour)
 	target.MaxBodyBytes = int64(s.Int("max_body", 1<<20, 0, 1<<40))
@@ -114,13 +95,17 @@
 
 // addDefaultRoute adds a route of all requests to the only service. With several services, it reports a
 // problem.
-func addDefaultRoute(d *settings.Document, h *HTTP, classes map[string]httpproxy.Classes) {
-	if len(h.Services) > 0 {
-		service := h.Services[0].Name
-		h.Routes = append(h.Routes, routes.Rule[*httpproxy.Route]{Name: "all", Line: 1, Path: anyPath,
-			Target: &httpproxy.Route{Service: service, Class: classes[service]}})
+func addDefaultRoute(d *settings.Document, f *File) {
+	services := f.HTTP.Services
+	if len(services) > 0 {
+		target := &httpproxy.Route{Service: services[0].Name}
+		if c := f.findClass(target.Service); c != nil {
+			target.Class = f.addVariants(c, nil)
+		}
+		f.HTTP.Routes = append(f.HTTP.Routes,
+			routes.Rule[*httpproxy.Route]{Name: "all", Line: 1, Path: anyPath, Target: target})
 	}
-	if len(h.Services) > 1 {
+	if len(services) > 1 {
 		d.Problemf("", "route",
 			"there is none, and there are several services: [[route]] with a service and a host or path")
 	}
--- a/internal/operatorconfig/services.go
+++ b/internal/operatorconfig/services.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"pumicecroft/decision"
 	"pumicecroft/httpproxy"
 	"pumicecroft/internal/settings"
 	"pumicecroft/membership"
@@ -31,40 +30,6 @@
 	PinsOnly          bool // a pinned key suffices: the certificate chain is not verified
 }
 
-// class is a class as the file has it.
-type class struct {
-	decision.Class
-	// byMethod means that the class has no idempotency of its own: the method of each request
-	// determines it.
-	byMethod bool
-}
-
-// Suffixes of the names of the variants of a class whose idempotency is by method. They appear in
-// metrics and logs.
-const (
-	nonIdempotentSuffix   = " (once)"
-	idempotentByKeySuffix = " (keyed)"
-)
-
-// classVariants returns the variants of a class whose idempotency is by method, one for each kind of
-// idempotency, and their names. Without a deduplication window there is none for idempotency keys.
-func classVariants(c decision.Class) ([]decision.Class, httpproxy.Classes) {
-	names := httpproxy.Classes{Idempotent: c.Name, NonIdempotent: c.Name + nonIdempotentSuffix}
-	idempotent := c
-	idempotent.Idempotency, idempotent.DedupWindow = decision.Idempotent, 0
-	nonIdempotent := c
-	nonIdempotent.Name, nonIdempotent.Idempotency, nonIdempotent.DedupWindow =
-		names.NonIdempotent, decision.NonIdempotent, 0
-	variants := []decision.Class{idempotent, nonIdempotent}
-	if c.DedupWindow > 0 {
-		byKey := c
-		names.IdempotentByKey = c.Name + idempotentByKeySuffix
-		byKey.Name, byKey.Idempotency = names.IdempotentByKey, decision.IdempotentByKey
-		variants = append(variants, byKey)
-	}
-	return variants, names
-}
-
 // readServices reads [[service]], before classes: each service defines a class of the same name, which
 // a [[class]] can replace.
 func readServices(root *settings.Section, f *File) {
@@ -94,7 +59,7 @@
 		c := readClass(s, service.Name)
 		s.RejectUnknownKeys()
 		f.HTTP.Services = append(f.HTTP.Services, service)
-		f.classes = append(f.classes, class{c, true})
+		f.classes = append(f.classes, class{Class: c, byMethod: true})
 	}
 }
 
