--- a/httpproxy/disconnect_test.go
+++ b/httpproxy/disconnect_test.go
@@ -44,9 +44,7 @@
 						context.AfterFunc(req.Context(), func() { disconnected <- true })
 						fx.proxy.ServeHTTP(w, req)
 					}), nil)
-					tr := &http.Transport{Protocols: new(http.Protocols)}
-					tr.Protocols.SetUnencryptedHTTP2(clientHTTP2)
-					tr.Protocols.SetHTTP1(!clientHTTP2)
+					tr := newTransport(clientHTTP2)
 					defer tr.CloseIdleConnections()
 					ctx, disconnect := context.WithCancel(t.Context())
 					ended := make(chan error, 1)
--- a/httpproxy/earlyhints_test.go
+++ b/httpproxy/earlyhints_test.go
@@ -213,10 +213,7 @@
 }
 
 func newHintClient(addr string, useHTTP2 bool) *hintClient {
-	transport := &http.Transport{Protocols: new(http.Protocols)}
-	transport.Protocols.SetUnencryptedHTTP2(useHTTP2)
-	transport.Protocols.SetHTTP1(!useHTTP2)
-	return &hintClient{addr: addr, transport: transport}
+	return &hintClient{addr: addr, transport: newTransport(useHTTP2)}
 }
 
 // hintedPage is a response that 103 responses precede.
--- a/httpproxy/fixture_test.go
+++ b/httpproxy/fixture_test.go
@@ -110,6 +110,14 @@
 	return strings.TrimPrefix(strings.TrimPrefix(s.URL, "http://"), "https://")
 }
 
+// newTransport returns a transport of a client that speaks HTTP/2, with prior knowledge, or HTTP/1.1.
+func newTransport(useHTTP2 bool) *http.Transport {
+	transport := &http.Transport{Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(useHTTP2)
+	transport.Protocols.SetHTTP1(!useHTTP2)
+	return transport
+}
+
 // sendRaw sends text on a new connection and returns all that is received until the connection is
 // closed or timeout has passed.
 func sendRaw(t testing.TB, addr, text string, timeout time.Duration) string {
--- a/httpproxy/response.go
+++ b/httpproxy/response.go
@@ -144,11 +144,16 @@
 	}
 }
 
-// setTrailers sets the trailer fields of a response whose body has been written.
+// setTrailers sets the trailer fields of a response whose body has been written. Fields that were announced
+// and not sent have no values. They are left out: the HTTP/2 server of net/http does not end a response
+// whose trailer has fields without values.
 func setTrailers(w http.ResponseWriter, trailer http.Header) {
 	h := w.Header()
 	announced := strings.Join(h["Trailer"], ", ")
 	for name, values := range trailer {
+		if len(values) == 0 {
+			continue
+		}
 		if !strings.Contains(", "+announced+", ", ", "+name+", ") {
 			name = http.TrailerPrefix + name
 		}
--- a/internal/httpproxytransport/body.go
+++ b/internal/httpproxytransport/body.go
@@ -49,6 +49,9 @@
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
+		if err == nil {
+			err = readEnd(res.Body)
+		}
 	} else {
 		response.Body, err = io.ReadAll(io.LimitReader(res.Body, maxBytes+1))
 		if err == nil && int64(len(response.Body)) > maxBytes {
@@ -59,6 +62,19 @@
 	return err
 }
 
+// readEnd reads the end of a body all of whose bytes have been read. The trailers are known only then: over
+// HTTP/2 they follow a body of known length too.
+func readEnd(body io.Reader) error {
+	_, err := io.ReadFull(body, make([]byte, 1))
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return errResponseTooLong
+	}
+	return err
+}
+
 // readBodyPrefix reads up to maxBytes+1 bytes of a body of unknown length. It reports whether the body
 // is complete, which means that it has maxBytes at most.
 func readBodyPrefix(res *http.Response, response *Response, maxBytes int64) (complete bool, err error) {
--- a/internal/httpproxytransport/exchange.go
+++ b/internal/httpproxytransport/exchange.go
@@ -18,6 +18,7 @@
 	errUnexpectedUpgrade    = errors.New("httpproxytransport: response 101 to a request without an upgrade")
 	errTooManyInformational = errors.New("httpproxytransport: too many 1xx responses")
 	errResponseTooLarge     = errors.New("httpproxytransport: response to a request with an idempotency key too large")
+	errResponseTooLong      = errors.New("httpproxytransport: response longer than its Content-Length")
 )
 
 const (
