processtest: a relay closes connections that are reset while it dials

Cause: Relay.forward dials the server and then stores the connection. If the client's side was reset meanwhile (Reset, Close), nothing closed the server's side any more: reset had run, and runs once. The copy from the server then waited for ever, and Relay.Close for it. The goroutines of the hung run show it: Close waits, and of one connection only the downstream copy is left, in Read. Excluded: stalled relays (their waits end with the connection), refused and silent connections (they have no goroutine). Change: relayConn.setServer stores the connection, or resets it if the relay's was reset before; its state has a lock of its own. Evidence: TestRelayResetWhileDialing resets during the dial; without setServer's check the server's side stays open and Close doesn't return.

--- a/internal/processtest/relay.go
+++ b/internal/processtest/relay.go
@@ -22,11 +22,12 @@
 // the stall is over, as over a network that was partitioned for a while. It is safe for concurrent use. Close ends all
 // connections.
 type Relay struct {
-	target string
-	ln     net.Listener
-	rng    *rand.Rand
+	ln  net.Listener
+	rng *rand.Rand
 
 	mu          sync.Mutex
+	target      string
+	dial        func(target string) (net.Conn, error) // opens connections to the server
 	stalled     Direction
 	delay       time.Duration
 	refuse      bool
@@ -45,9 +46,12 @@
 
 // relayConn is one connection through a relay.
 type relayConn struct {
-	client, server net.Conn
-	done           chan struct{}
-	once           sync.Once
+	client net.Conn
+	done   chan struct{} // closed by reset
+
+	mu       sync.Mutex
+	server   net.Conn // nil until it is dialed
+	wasReset bool
 }
 
 // NewRelay starts a relay to target at host, on a free port. seed determines which connections SetSilentShare affects.
@@ -57,13 +61,15 @@
 		return nil, err
 	}
 	r := &Relay{
-		target: target, ln: ln, rng: rand.New(rand.NewPCG(seed, 0x9e1a)),
+		target: target, ln: ln, rng: rand.New(rand.NewPCG(seed, 0x9e1a)), dial: dialServer,
 		conns: map[*relayConn]bool{}, changed: make(chan struct{}),
 	}
 	r.running.Go(r.accept)
 	return r, nil
 }
 
+func dialServer(target string) (net.Conn, error) { return net.DialTimeout("tcp", target, dialTimeout) }
+
 // Addr returns the address that the relay listens on.
 func (r *Relay) Addr() string { return r.ln.Addr().String() }
 
@@ -117,9 +123,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
-		if c.server != nil {
-			c.server.Close()
-		}
+		c.closeServer()
 	}
 }
 
@@ -167,18 +171,15 @@
 		return
 	}
 	r.mu.Lock()
-	target := r.target
+	target, dial := r.target, r.dial
 	r.mu.Unlock()
-	server, err := net.DialTimeout("tcp", target, dialTimeout)
-	if err != nil {
+	server, err := dial(target)
+	if err != nil || !c.setServer(server) {
 		return
 	}
-	r.mu.Lock()
-	c.server = server
-	r.mu.Unlock()
 	var copying sync.WaitGroup
-	copying.Go(func() { r.copyOneWay(c, Upstream, c.server, c.client) })
-	copying.Go(func() { r.copyOneWay(c, Downstream, c.client, c.server) })
+	copying.Go(func() { r.copyOneWay(c, Upstream, server, c.client) })
+	copying.Go(func() { r.copyOneWay(c, Downstream, c.client, server) })
 	copying.Wait()
 }
 
@@ -240,15 +241,47 @@
 	delete(r.conns, c)
 }
 
+// setServer sets the connection to the server. If c was reset while the server was dialed, it resets that
+// connection too and returns false: nothing else would end it.
+func (c *relayConn) setServer(server net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wasReset {
+		resetConn(server)
+		return false
+	}
+	c.server = server
+	return true
+}
+
+// closeServer closes the connection to the server, if there is one.
+func (c *relayConn) closeServer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.server != nil {
+		c.server.Close()
+	}
+}
+
 // reset resets a connection on both sides.
 func (c *relayConn) reset() {
-	c.once.Do(func() {
-		close(c.done)
-		for _, conn := range []net.Conn{c.client, c.server} {
-			if tcp, ok := conn.(*net.TCPConn); ok {
-				tcp.SetLinger(0)
-				_ = tcp.Close()
-			}
-		}
-	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wasReset {
+		return
+	}
+	c.wasReset = true
+	close(c.done)
+	resetConn(c.client)
+	if c.server != nil {
+		resetConn(c.server)
+	}
+}
+
+// resetConn closes a connection in such a way that its peer receives a reset.
+func resetConn(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
 }
--- a/internal/processtest/relay_test.go
+++ b/internal/processtest/relay_test.go
@@ -106,3 +106,45 @@
 		t.Errorf("%d connections were opened, want 4", n)
 	}
 }
+
+// Guards against a Close that never returns: a connection is reset while the relay dials the server. The
+// connection to the server must then be closed too, as nothing else ends it.
+func TestRelayResetWhileDialing(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	r, err := NewRelay("127.0.0.1", ln.Addr().String(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.update(func() {
+		r.dial = func(target string) (net.Conn, error) {
+			conn, err := dialServer(target)
+			r.Reset()
+			return conn, err
+		}
+	})
+	client, err := net.Dial("tcp", r.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	server, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	server.SetReadDeadline(time.Now().Add(waitTimeout))
+	if _, err := server.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read at the server after the reset: %v, want a closed connection", err)
+	}
+	closed := make(chan struct{})
+	go func() { r.Close(); close(closed) }()
+	select {
+	case <-closed:
+	case <-time.After(waitTimeout):
+		t.Error("Close has not returned")
+	}
+}
