--- a/decision/quota.go
+++ b/decision/quota.go
@@ -56,7 +56,7 @@
 	// maxNewcomerRejectRatio is the share of newcomers' requests that is rejected if their net gain
 	// (see NetGain of package quota), a share of a request's weight, is zero or less. It is below 1
 	// so that usage reports of the customers of every class keep arriving.
-	maxNewcomerRejectRatio = 0.7
+	maxNewcomerRejectRatio = 0.8
 	// newcomerGainFactor is by how much that share falls as the net gain rises from 0 to 1.
 	newcomerGainFactor = 2
 	// maxReserveFactor bounds the tokens reserved for requests of higher weight, as a multiple of
