--- a/httpproxy/earlyhints_test.go
+++ b/httpproxy/earlyhints_test.go
@@ -9,7 +9,6 @@
 	"net/http/httptest"
 	"net/http/httptrace"
 	"net/textproto"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -20,7 +19,6 @@
 	"pumicecroft/decision"
 	"pumicecroft/httpproxy"
 	"pumicecroft/internal/executor"
-	"pumicecroft/internal/httpproxyconfig"
 	"pumicecroft/internal/httpproxytransport"
 	"pumicecroft/internal/lifecycle"
 	"pumicecroft/internal/testkit"
@@ -102,7 +100,8 @@
 			t.Parallel()
 			transport := &lateHintTransport{make(chan struct{}), make(chan struct{}), make(chan struct{})}
 			section := fmt.Sprintf("deadline = %q\naim = %q\n", c.deadline, c.deadline)
-			proxy := newProxyWithTransport(t, serviceSection("shop", "127.0.0.1:1")+section, transport)
+			fx := startProxyWithDialer(t, serviceSection("shop", "127.0.0.1:1")+section, nil,
+				pumicecroft.WithProtocol(httpproxy.Protocol("shop"), transport))
 			ctx, cancel := c.end(t.Context())
 			defer cancel()
 			if c.leave {
@@ -111,7 +110,7 @@
 			w := &blockingWriter{ResponseRecorder: httptest.NewRecorder(), transport: transport}
 			served := make(chan bool)
 			go func() {
-				proxy.ServeHTTP(w, httptest.NewRequestWithContext(ctx, http.MethodPost, "/", nil))
+				fx.proxy.ServeHTTP(w, httptest.NewRequestWithContext(ctx, http.MethodPost, "/", nil))
 				close(served)
 			}()
 			testkit.Await(t, served, "the end of the request")
@@ -130,28 +129,6 @@
 	return context.WithTimeout(ctx, 300*time.Millisecond)
 }
 
-// newProxyWithTransport returns a proxy for the only service of a configuration file, named "shop", whose
-// attempts are made by a transport of the test.
-func newProxyWithTransport(t testing.TB, text string, transport executor.BackendTransport) *httpproxy.Proxy {
-	t.Helper()
-	file := parseFile(t, text)
-	gateway, err := pumicecroft.New(file.Gateway, pumicecroft.WithProtocol(httpproxy.Protocol("shop"), transport))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = gateway.Close(context.Background()) })
-	gateway.Update(file.Backends)
-	config := file.HTTP.Proxy
-	if config.Rules, err = httpproxyconfig.Rules(&file, os.ReadFile); err != nil {
-		t.Fatal(err)
-	}
-	proxy, err := httpproxy.New(gateway, config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return proxy
-}
-
 // Guards against the same crash over sockets, where net/http and golang.org/x/net have goroutines of
 // their own: clients leave at random times while HTTP/2 backends send 103 responses. The process must not
 // crash, and a client that stays must get all 103 responses before its page.
--- a/httpproxy/fixture_test.go
+++ b/httpproxy/fixture_test.go
@@ -46,21 +46,23 @@
 	return startProxyWithDialer(t, text, nil)
 }
 
-// startProxyWithDialer is startProxy with a function that opens the connections to backends.
+// startProxyWithDialer is startProxy with a function that opens the connections to backends, and with
+// options that take precedence over those of the file's services.
 func startProxyWithDialer(t testing.TB, text string, dial func(context.Context, string, string) (net.Conn, error),
 	options ...pumicecroft.Option) *fixture {
 	t.Helper()
 	fx := &fixture{t: t, file: parseFile(t, text)}
+	var services []pumicecroft.Option
 	for _, s := range fx.file.HTTP.Services {
 		c, err := httpproxyconfig.Service(s, os.ReadFile, slog.Default())
 		if err != nil {
 			t.Fatal(err)
 		}
 		c.Dial = dial
-		options = append(options, httpproxy.WithService(c))
+		services = append(services, httpproxy.WithService(c))
 	}
 	var err error
-	if fx.gateway, err = pumicecroft.New(fx.file.Gateway, options...); err != nil {
+	if fx.gateway, err = pumicecroft.New(fx.file.Gateway, append(services, options...)...); err != nil {
 		t.Fatal(err)
 	}
 	fx.gateway.Update(fx.file.Backends)
