consulcatalog: a drain before the catalog API's first response is reported ()

Cause: Catalog.TakeUpdate reports drains alone until both of Consul's APIs have sent a full response. Between the health API's first one and the catalog API's, it reported none: instances were known by then, and only drains of unknown ones were kept for it. Change: in that time the draining ones of all known instances are reported, each drain once, by the function that TakeUnlistedDrains uses too. Measured: TestDrainBeforeFirstCatalogResponse fails before, with partial and with full responses, and passes.

--- a/internal/consulcatalog/catalog.go
+++ b/internal/consulcatalog/catalog.go
@@ -54,7 +54,7 @@
 	processID     string // the attribute that Mapping.Started selects
 	epoch         int
 	absentSince   time.Time // when updates began to leave the instance out; zero if present
-	drainReported bool      // TakeUnlistedDrains has reported the current drain
+	drainReported bool      // takeDrains has returned the current drain
 }
 
 const (
--- a/internal/consulcatalog/catalog_test.go
+++ b/internal/consulcatalog/catalog_test.go
@@ -228,6 +228,30 @@
 	checkUpdate(t, catalog, 1, "n/a:draining n/b:draining n/c:ready")
 }
 
+// The health API has sent its first full response, and the catalog API none yet. A drain that a later response of the
+// health API shows must be reported at once: it was lost, and the cached endpoint got requests. Each drain is reported
+// once.
+func TestDrainBeforeFirstCatalogResponse(t *testing.T) {
+	critical := withStatus("critical")
+	for _, full := range []bool{false, true} {
+		catalog := NewCatalog(Mapping{Name: "name"}, true)
+		named := func(e *Entry) { e.Meta = map[string]string{"name": "named-" + e.ID} }
+		respond := func(at float64, full bool, want string, entries ...Entry) {
+			t.Helper()
+			catalog.UpdateHealth(t0, entries, full, false)
+			checkUpdate(t, catalog, at, want)
+		}
+		respond(0, true, "no update", entry("a", named), entry("b"))
+		respond(1, full, "named-a:draining", entry("a", named, critical), entry("b"))
+		respond(2, full, "no update", entry("a", named, critical), entry("b"))
+		respond(3, full, "n/b:draining", entry("a", named, critical), entry("b", critical))
+		respond(4, true, "no update", entry("a", named), entry("b", critical))
+		respond(5, full, "named-a:draining", entry("a", named, critical), entry("b", critical))
+		catalog.UpdateFromCatalogAPI([]string{"n/a", "n/b"})
+		checkUpdate(t, catalog, 6, "named-a:draining n/b:draining")
+	}
+}
+
 // The health API lists an instance that was missing from the last response of the catalog API, so that response may
 // be out of date: the update must not be full until the catalog API responds again.
 func TestOlderResponseRemovesNoNode(t *testing.T) {
--- a/internal/consulcatalog/update.go
+++ b/internal/consulcatalog/update.go
@@ -21,7 +21,7 @@
 // which instances are absent and deletes those that have been absent for too long.
 func (c *Catalog) TakeUpdate(now time.Time) (update membership.Update, ok bool) {
 	if c.awaitingCatalogAPI || !c.healthSeen {
-		update.Nodes, c.earlyDrains = c.earlyDrains, nil
+		update.Nodes = c.takeDrainsBeforeFull()
 		return update, len(update.Nodes) > 0
 	}
 	update.Full = c.isComplete()
@@ -49,6 +49,32 @@
 	return update, true
 }
 
+// takeDrainsBeforeFull returns the nodes that must not receive requests and were not returned before. It is used
+// until each queried API has sent a full response.
+func (c *Catalog) takeDrainsBeforeFull() (nodes []membership.Node) {
+	if !c.healthSeen {
+		nodes, c.earlyDrains = c.earlyDrains, nil
+		return nodes
+	}
+	return c.takeDrains(func(string) bool { return true })
+}
+
+// takeDrains returns the draining nodes among the instances that a condition selects. Each is returned once; when it
+// is ready or not selected any more, its next drain counts as another one.
+func (c *Catalog) takeDrains(selects func(name string) bool) (nodes []membership.Node) {
+	for _, name := range slices.Sorted(maps.Keys(c.records)) {
+		r := c.records[name]
+		draining := r.node.State == decision.Draining && selects(name)
+		if draining && !r.drainReported {
+			node := r.node
+			node.Name = cmp.Or(r.mappedName, node.Name)
+			nodes = append(nodes, node)
+		}
+		r.drainReported = draining
+	}
+	return nodes
+}
+
 // isComplete reports whether every node that the update lacks is certain not to exist. The last response must
 // have been full. If the newer of the two APIs' responses lists an instance that the older one lacks, the older
 // response may be out of date, so other instances that it lacks may exist too.
@@ -115,15 +141,6 @@
 	if c.awaitingCatalogAPI || !c.healthSeen || c.inCatalog == nil {
 		return update
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.records)) {
-		r := c.records[name]
-		unlisted := !c.inCatalog[name] && c.inHealth[name] && r.node.State == decision.Draining
-		if unlisted && !r.drainReported {
-			node := r.node
-			node.Name = cmp.Or(r.mappedName, node.Name)
-			update.Nodes = append(update.Nodes, node)
-		}
-		r.drainReported = unlisted
-	}
+	update.Nodes = c.takeDrains(func(name string) bool { return !c.inCatalog[name] && c.inHealth[name] })
 	return update
 }
