consul: the sync after a pause waits for a response that has arrived ()

Seen: sim run: after a pause of 1.7 s a gateway sends a request to a backend whose drain had arrived 0.6 s before, during the pause (0.5 s is allowed). Cause: Watch.Sync passes over a query that has been failing since before the pause, also where a response to it has arrived meanwhile and is unread. Change: requestRefresh waits for a response that has begun to arrive, failing or not; the simulation's watch as well. The fake agent's server is read once by its goroutine (a data race, seen as the new test starts an agent again).

--- a/consul/query.go
+++ b/consul/query.go
@@ -108,8 +108,8 @@
 }
 
 // Sync sends the service's queries again and returns when their responses have been reported. It does not
-// wait for a query that has been failing since before the time since. If no query is left to wait for, or
-// ctx ends, Sync returns an error.
+// wait for a query that has been failing since before the time since, unless a response to it has begun to
+// arrive. If no query is left to wait for, or ctx ends, Sync returns an error.
 func (w *Watch) Sync(ctx context.Context, since time.Time) error {
 	w.mu.Lock()
 	queries := slices.Clone(w.queries)
@@ -149,19 +149,22 @@
 }
 
 // requestRefresh requests a query that is sent from now on, and returns a channel that receives its result.
-// It returns nil if the query has been failing since before the time since. A query in flight is restarted,
-// unless its response has begun to arrive: that response is then reported first, even if the next query
-// fails.
+// A query in flight is restarted, unless its response has begun to arrive: that response is then reported
+// first, even if the next query fails. requestRefresh returns nil if the query has been failing since before
+// the time since, and no response has begun to arrive.
 func (s *queryState) requestRefresh(since time.Time) chan error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.failedSince.IsZero() && s.failedSince.Before(since) {
+	inFlight := s.cancel != nil
+	arriving := inFlight && s.responseStarted()
+	failing := !s.failedSince.IsZero() && s.failedSince.Before(since)
+	if failing && !arriving {
 		return nil
 	}
 	result := make(chan error, 1)
 	s.waiters = append(s.waiters, result)
 	s.wakeUp()
-	if s.cancel != nil && !s.responseStarted() {
+	if inFlight && !arriving {
 		s.cancel()
 	}
 	return result
--- a/consul/sync_test.go
+++ b/consul/sync_test.go
@@ -3,15 +3,72 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"pumicecroft/internal/fakes"
 	"pumicecroft/internal/hosttest"
+	"pumicecroft/internal/testkit"
+	"pumicecroft/internal/unread"
 	"pumicecroft/membership"
 )
 
+// A query fails, and the response to the next one arrives while the process is paused. Sync must wait for it, although
+// the query was failing before the pause. It must not wait if nothing has arrived, or the query has ended.
+func TestSyncWaitsForArrivedResponse(t *testing.T) {
+	agent, gateway := startWaitingRead(t)
+	state := &queryState{wake: make(chan struct{}, 1)}
+	state.begin(func() {})
+	state.end(nil, errTimeout)
+	paused := time.Now()
+	state.begin(func() { t.Error("the query was restarted, want it to end first") })
+	state.setConn(gateway)
+	if state.requestRefresh(paused) != nil {
+		t.Error("Sync waits for a failing query to which nothing has arrived")
+	}
+	if _, err := agent.Write([]byte("HTTP/1.1 200 OK")); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(testkit.WaitTimeout); gateway.BytesRead() == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if state.requestRefresh(paused) == nil {
+		t.Error("Sync does not wait for a response that has begun to arrive")
+	}
+	state.end(nil, errTimeout)
+	if state.requestRefresh(time.Now()) != nil {
+		t.Error("Sync waits for a failing query that has ended")
+	}
+}
+
+// startWaitingRead returns both ends of a connection. A read of the gateway's end waits for bytes.
+func startWaitingRead(t *testing.T) (agent net.Conn, gateway *unread.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	dialed, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = dialed.Close() })
+	if agent, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = agent.Close() })
+	gateway = unread.New(dialed, nil)
+	go func() { _, _ = io.Copy(io.Discard, gateway) }()
+	for deadline := time.Now().Add(testkit.WaitTimeout); !gateway.FullyRead() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	return agent, gateway
+}
+
 // After a pause of the process, Sync must return only when everything that the agent knew at the time of the call
 // has been reported, whatever the state of the queries. It waits for a query whose failure begins after since, but
 // not for one that was failing before.
--- a/internal/fakes/consul.go
+++ b/internal/fakes/consul.go
@@ -120,8 +120,9 @@
 	mux.HandleFunc("PUT /v1/agent/service/deregister/{id}", c.handleDeregister)
 	mux.HandleFunc("PUT /v1/agent/service/maintenance/{id}", c.handleMaintenance)
 	mux.HandleFunc("PUT /v1/agent/check/update/{check}", c.handleCheckUpdate)
-	c.server = &http.Server{Handler: c.withFaults(mux), ErrorLog: log.New(io.Discard, "", 0)}
-	go func() { _ = c.server.Serve(ln) }()
+	server := &http.Server{Handler: c.withFaults(mux), ErrorLog: log.New(io.Discard, "", 0)}
+	c.server = server
+	go func() { _ = server.Serve(ln) }()
 	return nil
 }
 
--- a/internal/sim/catalogwatch.go
+++ b/internal/sim/catalogwatch.go
@@ -103,7 +103,7 @@
 }
 
 // sync sends the queries again and calls done when they have ended. It skips a query that has been
-// failing since before the given time.
+// failing since before the given time, unless its response has arrived.
 func (w *catalogWatch) sync(since time.Duration, done func()) {
 	pending := 1
 	end := func() {
@@ -113,12 +113,14 @@
 	}
 	for kind := range queryKindCount {
 		state := &w.queries[kind]
-		if state.failingSince > 0 && state.failingSince < since {
+		arrived := state.arrivedSerial == state.serial
+		failing := state.failingSince > 0 && state.failingSince < since
+		if failing && !arrived {
 			continue
 		}
 		pending++
 		state.waiters = append(state.waiters, end)
-		if state.arrivedSerial == state.serial {
+		if arrived {
 			// A response has arrived and its handling is queued: it is handled first, and the waiters
 			// wait for the query after it.
 			state.requery = true
