blockingquery: after a failure the next query is answered at once

Cause: Loop.Failed kept the index, so an agent that was back held the next query until something changed or its wait was over (10 s, or what is configured). Change: the next query after a failure has index 0, as after a response that is not complete. This costs one response for each failure that is over.

--- a/consul/sync_test.go
+++ b/consul/sync_test.go
@@ -16,6 +16,34 @@
 	"pumicecroft/membership"
 )
 
+// The agent fails for a moment, and nothing changes at Consul. Once it responds again Sync must not pass over the queries
+// as failing: a drain that arrives while the process is paused was passed over with them.
+func TestSyncAfterFailure(t *testing.T) {
+	f := newFixture(t, func(c *Config) { c.Wait = time.Minute })
+	f.startBackend(nil)
+	w := f.client.Service(Service{Name: serviceName, HealthOnly: true})
+	updated, failed := make(chan bool, 100), make(chan bool, 100)
+	go w.Run(t.Context(), func(update membership.Update) {
+		if update.Err != nil {
+			failed <- true
+		} else {
+			updated <- true
+		}
+	})
+	testkit.Await(t, updated, "the first update")
+	if err := f.agent.SetFault(fakes.ConsulRefusesConnections); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Await(t, failed, "the failure")
+	if err := f.agent.SetFault(fakes.ConsulHealthy); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Await(t, updated, "an update after the failure")
+	if err := w.Sync(t.Context(), time.Now()); err != nil {
+		t.Errorf("Sync after the agent has responded again: %v", err)
+	}
+}
+
 // A query fails, and the response to the next one arrives while the process is paused. Sync must wait for it, although
 // the query was failing before the pause. It must not wait if nothing has arrived, or the query has ended.
 func TestSyncWaitsForArrivedResponse(t *testing.T) {
--- a/internal/blockingquery/blockingquery.go
+++ b/internal/blockingquery/blockingquery.go
@@ -125,8 +125,10 @@
 // Sent records that the query was sent.
 func (l *Loop) Sent(now time.Duration) { l.sentAt = now }
 
-// Failed records that the query had no response, or one that could not be read.
+// Failed records that the query had no response, or one that could not be read. The next query has index 0: held
+// until something changes, it would leave unknown for its whole wait whether the server can be reached again.
 func (l *Loop) Failed(now time.Duration) {
+	l.index = 0
 	delay := backoff.Exponential{Initial: l.policy.RetryMin, Max: l.policy.RetryMax}.Delay(l.failures)
 	l.failures++
 	l.notBefore = now + delay - time.Duration(l.rng.Float64()*float64(delay)/2)
@@ -136,7 +138,6 @@
 // query counts as failed.
 func (l *Loop) Answered(now time.Duration, response Response) Verdict {
 	if reason := l.incompleteReason(response); reason != "" {
-		l.index = 0
 		l.Failed(now)
 		return Verdict{Reason: reason}
 	}
--- a/internal/blockingquery/blockingquery_test.go
+++ b/internal/blockingquery/blockingquery_test.go
@@ -112,6 +112,22 @@
 	}
 }
 
+// A query fails after a response with an index. The next query must have index 0: with another, the server holds it
+// while nothing changes, and for so long the query counts as failing.
+func TestQueryAfterFailureIsNotHeld(t *testing.T) {
+	l := New(Policy{}, 1)
+	now := time.Duration(0)
+	step(l, &now, ms, complete(8, 3))
+	l.Sent(now)
+	l.Failed(now)
+	if q := l.Next(); q.Index != 0 {
+		t.Errorf("after a failure: got query %+v, want index 0", q)
+	}
+	if v, q := step(l, &now, ms, complete(8, 3)); !v.Full || v.IndexReset || q.Index != 8 || q.NotBefore != now {
+		t.Errorf("response after a failure: got %+v, then query %+v at %v, want full, then index 8 at once", v, q, now)
+	}
+}
+
 // A response is incomplete. It must be reported as such with a reason, its index must be ignored, and the query
 // must be repeated soon.
 func TestIncompleteResponses(t *testing.T) {
