TestCertificateReloadUnderLoad: the listener's timeout fits the test's deadline

Cause: the test's listener was told that a request takes 5 s at most, while the class has a deadline of one hour. It resets responses that end 15 s after their request (5 s and 10 s of grace); the test holds its requests until 200 reloads are over, 14 to 21 s on two processors with the race detector. Change: the listener is told the deadline of the class, as the daemon does. What the test claims is unchanged.

--- a/httpproxy/tls_test.go
+++ b/httpproxy/tls_test.go
@@ -25,6 +25,10 @@
 )
 
 // startTLSListener serves a fixture's proxy as the daemon does, with the [tls] section of its file.
+// maxTLSRequestTimeout is the longest deadline of the classes behind startTLSListener. The listener cuts responses that
+// end later than that.
+const maxTLSRequestTimeout = time.Hour
+
 func startTLSListener(t testing.TB, fx *fixture) (addr string, store *certs.Store) {
 	t.Helper()
 	config, store, err := httpproxyconfig.ListenerTLS(&fx.file, os.ReadFile, time.Now, slog.New(slog.DiscardHandler))
@@ -38,7 +42,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
-		ended <- httplistener.NewServer(fx.proxy, 2000, 5*time.Second, slog.New(slog.DiscardHandler),
+		ended <- httplistener.NewServer(fx.proxy, 2000, maxTLSRequestTimeout, slog.New(slog.DiscardHandler),
 			httplistener.Options{TLS: config, GeneralPurpose: true, HeaderTimeout: testTimeout}).Run(ctx, ln)
 	}()
 	t.Cleanup(func() {
