--- a/decision/admission.go
+++ b/decision/admission.go
@@ -54,8 +54,9 @@
 		deadline: e.now + event.Timeout,
 		cost:     event.Cost,
 	}
+	class.newcomerRejections.RecordRequest()
 	customer.newcomerStats.RecordRequest(class.PriorityWeight, event.Cost)
-	admittedByQuota := e.admittedByQuota(customer, class.PriorityWeight, event.Cost)
+	admittedByQuota := e.admittedByQuota(customer, class, event.Cost)
 	withinHardLimit := e.withinHardLimit(customer, event.Cost)
 	switch {
 	case admittedByQuota && withinHardLimit:
--- a/decision/customers.go
+++ b/decision/customers.go
@@ -11,10 +11,6 @@
 	customerIdleTTL = time.Minute
 	// minCost replaces a last cost of zero, which would be divided by; in units.
 	minCost = 1e-6
-
-	// newcomerSlack is how many tokens a newcomer's bucket holds beyond the cost of its first
-	// request and the quota margin, in percent-seconds.
-	newcomerSlack = 1
 )
 
 // customer is this gateway's state of a customer.
--- a/decision/engine.go
+++ b/decision/engine.go
@@ -71,7 +71,8 @@
 	bestLatency float64 // slowly rising minimum of meanLatency, seconds
 	// cancelCandidates are the requests whose first attempt may still be cancelled as slow, in the
 	// order in which they were sent. Some may have finished.
-	cancelCandidates []*request
+	cancelCandidates   []*request
+	newcomerRejections quota.ClassRejections
 }
 
 // protocolPool holds the backends of one protocol; a request is sent only to those of its own
--- a/decision/quota.go
+++ b/decision/quota.go
@@ -53,12 +53,6 @@
 	// is exact then, and separate requests are not needed.
 	maxDebitsExact = 2
 
-	// maxNewcomerRejectRatio is the share of newcomers' requests that is rejected if their net gain
-	// (see NetGain of package quota), a share of a request's weight, is zero or less. It is below 1
-	// so that usage reports of the customers of every class keep arriving.
-	maxNewcomerRejectRatio = 0.8
-	// newcomerGainFactor is by how much that share falls as the net gain rises from 0 to 1.
-	newcomerGainFactor = 2
 	// maxReserveFactor bounds the tokens reserved for requests of higher weight, as a multiple of
 	// the quota margin.
 	maxReserveFactor = 3
@@ -85,12 +79,6 @@
 	return c.quotaTokens(c.plan.Burst)
 }
 
-// isNewcomer reports whether a customer uses many gateways and no usage report for it has arrived,
-// so that its use at the other gateways is unknown.
-func (c *customer) isNewcomer() bool {
-	return c.meteredSeconds == 0 && c.gateways > smallGatewaySpread && c.usagePeriod > 0
-}
-
 // globalUsageFactor returns the customer's use over all gateways for each unit forwarded here, by
 // the usage reports. Before any report it assumes that requests are spread evenly.
 func (c *customer) globalUsageFactor() float64 {
@@ -138,15 +126,14 @@
 	return meanPercent * (1 - ownWeight) * (globalFactor - 1) / globalFactor, ownWeight * (globalFactor - 1)
 }
 
-// admittedByQuota reports whether a customer's quota and MaxInFlight allow a request of a cost and a
-// priority weight per unit. Some requests are rejected at random, so it must be called only once for
-// each decision.
+// admittedByQuota reports whether a customer's quota and MaxInFlight allow a request of a class and a
+// cost. Some requests are rejected at random, so it must be called only once for each decision.
 //
 // While reports arrive and the bucket is empty, requests are admitted with the admit probability.
 // Independently of that, availableTokens must cover the cost and the reserve: reports arrive late,
 // so a short burst is over before a report shows it. Of a newcomer nothing but the request itself is
 // known; some of its requests are rejected at random, those with the smallest gain most often.
-func (e *Engine) admittedByQuota(customer *customer, priorityWeight, cost float64) bool {
+func (e *Engine) admittedByQuota(customer *customer, class *class, cost float64) bool {
 	plan := customer.plan
 	if customer.atMaxInFlight() {
 		return false
@@ -160,11 +147,11 @@
 		return false
 	}
 	// The random number is drawn for plans without a rate too, which do not use the result.
-	newcomerRejected := e.rejectsNewcomer(customer, priorityWeight, cost)
+	newcomerRejected := e.rejectsNewcomer(customer, class, cost)
 	if plan.Rate <= 0 {
 		return true
 	}
-	needed := customer.quotaTokens(cost) + customer.reservedTokens(priorityWeight)
+	needed := customer.quotaTokens(cost) + customer.reservedTokens(class.PriorityWeight)
 	return !newcomerRejected && customer.availableTokens(e.now) >= needed
 }
 
@@ -175,20 +162,6 @@
 	return limit > 0 && float64(c.inFlight) >= math.Ceil(float64(limit)/c.gateways)
 }
 
-// rejectsNewcomer decides at random whether a newcomer's request is rejected because forwarding it
-// gains too little. The gain is NetGain of package quota: 1, less the expected loss if the request
-// is over the quota, less that of later requests that are over the quota because this one is
-// forwarded. Both are relative to the request's weight.
-func (e *Engine) rejectsNewcomer(customer *customer, priorityWeight, cost float64) bool {
-	if !customer.isNewcomer() {
-		return false
-	}
-	// What a request over the quota loses, as a multiple of its weight.
-	overQuotaLoss := 1 - customer.plan.OverQuotaWeightFactor + customer.plan.OverQuotaCostFactor
-	gain := customer.newcomerStats.NetGain(priorityWeight, cost, overQuotaLoss)
-	return e.rng.Float64() < maxNewcomerRejectRatio-newcomerGainFactor*max(0, gain)
-}
-
 // reservedTokens returns how many tokens a request must leave in the bucket: more for requests of
 // lower weight, so that the last tokens are left for those of the highest weight.
 func (c *customer) reservedTokens(priorityWeight float64) float64 {
--- a/decision/quota_test.go
+++ b/decision/quota_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"pumicecroft/quota"
 )
 
 // A plan's MaxInFlight is split evenly between the customer's gateways.
@@ -343,6 +345,7 @@
 		stats := *h.engine.newcomersByPlan["shop"]
 		for range tries {
 			*h.engine.newcomersByPlan["shop"] = stats // these requests must not change the statistics
+			h.engine.classes[class].newcomerRejections = quota.ClassRejections{}
 			actions := h.handle(Request{ID: RequestID(1_000_000 + len(h.engine.customers)),
 				Customer: CustomerID(1_000_000 + len(h.engine.customers)), Class: class,
 				Plan: "shop", Cost: cost, Timeout: 3 * second, GatewaySpread: h.engine.settings.GatewayCount})
@@ -369,6 +372,29 @@
 	}
 }
 
+// After a restart all customers are newcomers to a gateway. A class without gain must be served all the same, in at
+// least three of five requests: 0.8 of them were rejected, and the class starved.
+func TestAdmittedByQuota_NewcomersOfLowWeightAreServed(t *testing.T) {
+	h := newMeteredHarness(t, 300)
+	stats := *h.engine.newcomersByPlan["shop"]
+	forwarded := func(n int, class string) (count int) {
+		for range n {
+			*h.engine.newcomersByPlan["shop"] = stats // these requests must not change the statistics
+			id := RequestID(1_000_000 + len(h.engine.customers))
+			actions := h.handle(Request{ID: id, Customer: CustomerID(id), Class: class, Plan: "shop", Cost: 2,
+				Timeout: 3 * second, GatewaySpread: 300})
+			count += len(startedAttempts(actions))
+		}
+		return count
+	}
+	if got := forwarded(2000, "unimportant"); got < 1150 || got > 1300 {
+		t.Errorf("%d of 2000 newcomers' requests of low weight were forwarded, want three in five", got)
+	}
+	if got := forwarded(500, "important"); got < 475 {
+		t.Errorf("%d of 500 newcomers' requests of high weight were forwarded, want 475 at least", got)
+	}
+}
+
 // A rejected newcomer gets as Retry-After the time in which its quota refills by the cost, as if
 // its bucket were empty: the level of the bucket is unknown, and an immediate retry would be
 // rejected too.
