TestRelayResetWhileDialing: the client's Dial returns before the reset

Cause: the hook resets the client's connection in the moment in which the relay dials, which may be before the client's Dial has returned. Change: the hook waits until Dial has returned; what is claimed is unchanged.

--- a/internal/processtest/relay_test.go
+++ b/internal/processtest/relay_test.go
@@ -119,14 +119,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	accepted := make(chan struct{}) // closed when the client's Dial has returned, which a reset may fail before
 	r.update(func() {
 		r.dial = func(target string) (net.Conn, error) {
 			conn, err := dialServer(target)
+			<-accepted
 			r.Reset()
 			return conn, err
 		}
 	})
 	client, err := net.Dial("tcp", r.Addr())
+	close(accepted)
 	if err != nil {
 		t.Fatal(err)
 	}
