--- a/decision/quota_test.go
+++ b/decision/quota_test.go
@@ -336,6 +336,13 @@
 	return h
 }
 
+// requestOfNewcomer sends a request of a customer that is new to the gateway and uses all gateways.
+func (h *harness) requestOfNewcomer(class string, cost float64) []Action {
+	number := 1_000_000 + len(h.engine.customers)
+	return h.handle(Request{ID: RequestID(number), Customer: CustomerID(number), Class: class, Plan: "shop", Cost: cost,
+		Timeout: 3 * second, GatewaySpread: h.engine.settings.GatewayCount})
+}
+
 // A gateway has no usage report of a newcomer. If first reports show that many newcomers use up
 // their quotas elsewhere, and only then, requests of low weight must be rejected to leave tokens
 // for those of high weight.
@@ -346,10 +353,7 @@
 		for range tries {
 			*h.engine.newcomersByPlan["shop"] = stats // these requests must not change the statistics
 			h.engine.classes[class].newcomerRejections = quota.ClassRejections{}
-			actions := h.handle(Request{ID: RequestID(1_000_000 + len(h.engine.customers)),
-				Customer: CustomerID(1_000_000 + len(h.engine.customers)), Class: class,
-				Plan: "shop", Cost: cost, Timeout: 3 * second, GatewaySpread: h.engine.settings.GatewayCount})
-			share += float64(len(startedAttempts(actions))) / tries
+			share += float64(len(startedAttempts(h.requestOfNewcomer(class, cost)))) / tries
 		}
 		return share
 	}
@@ -380,10 +384,7 @@
 	forwarded := func(n int, class string) (count int) {
 		for range n {
 			*h.engine.newcomersByPlan["shop"] = stats // these requests must not change the statistics
-			id := RequestID(1_000_000 + len(h.engine.customers))
-			actions := h.handle(Request{ID: id, Customer: CustomerID(id), Class: class, Plan: "shop", Cost: 2,
-				Timeout: 3 * second, GatewaySpread: 300})
-			count += len(startedAttempts(actions))
+			count += len(startedAttempts(h.requestOfNewcomer(class, 2)))
 		}
 		return count
 	}
