deduplicator: requests stop waiting for the disk when attempts end

TestHangingDiskLeavesDeadlineMargin states it on simulated time: 4.98 s of 5 s, before the fix 5 s. What is claimed is the same: the result, within the request's own timeout, while the response still waits for the disk.

--- a/idempotency.go
+++ b/idempotency.go
@@ -55,6 +55,7 @@
 		GroupCommitDelay: journal.GroupCommitDelay,
 		SyncInterval:     journal.SyncInterval,
 		WriteTimeout:     journal.WriteTimeout,
+		DeadlineMargin:   lifecycle.TimeoutMargin - lifecycle.ResponseMargin,
 		RejectOnFailure:  journal.RejectOnFailure,
 		Log:              g.log,
 	})
--- a/internal/deduplicator/journal.go
+++ b/internal/deduplicator/journal.go
@@ -23,6 +23,9 @@
 	SyncInterval time.Duration
 	// WriteTimeout is how long a request waits for the disk.
 	WriteTimeout time.Duration
+	// DeadlineMargin is how long before its deadline a request stops waiting for the disk, so that its
+	// result can still be delivered in time.
+	DeadlineMargin time.Duration
 	// RejectOnFailure rejects a request whose record is not on disk within WriteTimeout. Otherwise
 	// the request is executed with its key in memory only.
 	RejectOnFailure bool
@@ -145,9 +148,11 @@
 }
 
 // awaitRecord waits for a channel of watchRecord and returns the value that it receives. It waits for
-// at most WriteTimeout, and not beyond the request's deadline or the end of ctx; then it returns false.
+// at most WriteTimeout, until DeadlineMargin before the request's deadline, and not beyond the end of
+// ctx; then it returns false.
 func (d *Deduplicator) awaitRecord(ctx context.Context, done chan bool, deadline time.Duration) bool {
-	timeout := time.NewTimer(min(d.journalConfig.WriteTimeout, deadline-d.now()))
+	remaining := deadline - d.journalConfig.DeadlineMargin - d.now()
+	timeout := time.NewTimer(min(d.journalConfig.WriteTimeout, remaining))
 	defer timeout.Stop()
 	select {
 	case ok := <-done:
--- a/internal/deduplicator/journal_test.go
+++ b/internal/deduplicator/journal_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pumicecroft/idempotency"
@@ -146,6 +147,33 @@
 	}
 }
 
+// Guards against results that are late because a request waited for a hanging disk until its deadline. It must stop
+// DeadlineMargin before that, both before its execution and with its response.
+func TestHangingDiskLeavesDeadlineMargin(t *testing.T) {
+	for _, hangs := range []string{"before", "during"} { // the execution
+		t.Run(hangs, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { testDeadlineMargin(t, hangs) }) })
+	}
+}
+
+func testDeadlineMargin(t *testing.T, hangs string) {
+	const margin = 20 * time.Millisecond
+	disk, release := newTestDisk(), make(chan struct{})
+	d := openOnDisk(t, disk, func(config *JournalConfig) { config.DeadlineMargin = margin })
+	closeAtEnd(t, d)
+	defer close(release)
+	if hangs == "before" {
+		disk.setHang(release)
+	}
+	start := time.Now()
+	got, err := request(d, "key", func() Result {
+		disk.setHang(release)
+		return succeedWith("a")()
+	})
+	if elapsed := time.Since(start); got != "a" || err != nil || elapsed != requestTimeout-margin {
+		t.Errorf("got %q, error %v, after %v, want %q after %v", got, err, elapsed, "a", requestTimeout-margin)
+	}
+}
+
 // breakDisk makes a disk full, fail, or hang until release is closed.
 func breakDisk(disk *testDisk, how string, release chan struct{}) {
 	switch how {
