platform: the sync after a pause waits for an update that has arrived

After an outage of discovery that began before a pause, the first update of the next watch may arrive during the pause; Discovery.Sync returned its error at once, and attempts could start before the drains in that update were applied. Cause: Sync took a watch that has not caught up for an unreachable discovery without looking for unread bytes on its connection. Change: it returns the error once everything that has arrived was read and reported. The executor bounds the wait, as before (pauseLimits.SyncTimeout).

--- a/internal/platform/sync_test.go
+++ b/internal/platform/sync_test.go
@@ -64,7 +64,7 @@
 	d.publish(t, 31)
 	d.abortWatches() // the update is unread, or lost with its watch and sent again by the next one
 	sync(begin, 31)
-	d.refuseRequests()
+	d.refuseRequests(true)
 	d.abortWatches()
 	for open := true; open; time.Sleep(time.Millisecond) { // until the source has noticed the end of the watch
 		source.state.mu.Lock()
@@ -83,6 +83,44 @@
 	testkit.Await(t, ended, "the end")
 }
 
+// Guards against sends to a backend whose drain had arrived during a pause: discovery was unreachable before the pause,
+// and the first update of the next watch has arrived when Sync is called. Sync must wait until it is reported.
+func TestSyncWaitsForFirstUpdateAfterOutage(t *testing.T) {
+	d := newScriptedDiscovery(t)
+	d.refuseRequests(true)
+	var reported atomic.Int64
+	release := make(chan bool)
+	source := &Discovery{Addr: d.addr, FromVersion: 1}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan bool)
+	go func() {
+		source.Follow(ctx, func(u EndpointUpdate) {
+			<-release
+			reported.Store(u.Seq)
+		})
+		close(ended)
+	}()
+	if err := source.Sync(t.Context(), time.Now()); !errors.Is(err, errNoProgress) {
+		t.Errorf("discovery unreachable: got %v, want %v at once", err, errNoProgress)
+	}
+	d.refuseRequests(false)
+	testkit.Await(t, d.written, "the first update to be written")
+	synced := make(chan error, 1)
+	go func() { synced <- source.Sync(t.Context(), time.Now()) }()
+	select {
+	case err := <-synced:
+		t.Errorf("Sync returned %v before the update that had arrived was reported", err)
+		synced <- err
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(release)
+	if err := testkit.Await(t, synced, "Sync"); err != nil || reported.Load() != 2 {
+		t.Errorf("Sync returned %v with version %d reported, want nil and version 2", err, reported.Load())
+	}
+	cancel()
+	testkit.Await(t, ended, "the end")
+}
+
 // scriptedDiscovery is a discovery whose watches send the versions that the test publishes.
 type scriptedDiscovery struct {
 	addr     string
@@ -141,9 +179,9 @@
 	d.aborted = make(chan bool)
 }
 
-// refuseRequests aborts all further requests without a response.
-func (d *scriptedDiscovery) refuseRequests() {
+// refuseRequests sets whether further requests are aborted without a response.
+func (d *scriptedDiscovery) refuseRequests(refuse bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.refusing = true
+	d.refusing = refuse
 }
--- a/internal/platform/watchstate.go
+++ b/internal/platform/watchstate.go
@@ -89,9 +89,9 @@
 // Sync blocks until everything that had arrived from discovery before the call has been reported.
 //
 // If the watch has timed out, or has ended after since, Sync waits for the next one, which is opened at
-// once if calls cost discovery nothing. If the current watch has not caught up and no earlier watch that had
-// caught up ended after since, Sync returns an error at once: discovery is unreachable, and the gateway was
-// already running without it.
+// once if calls cost discovery nothing. If the current watch has not caught up, nothing that has arrived on its
+// connection is unread, and no earlier watch that had caught up ended after since, Sync returns an error at
+// once: discovery is unreachable, and the gateway was already running without it.
 func (d *Discovery) Sync(ctx context.Context, since time.Time) error {
 	s := &d.state
 	for {
@@ -103,11 +103,12 @@
 		alive := s.caughtUp && time.Since(s.progressAt) < watchTimeout
 		endedBefore := !s.caughtUp && s.endedAt.Before(since)
 		s.mu.Unlock()
+		fullyRead := conn == nil || conn.FullyRead()
 		switch {
-		case endedBefore:
-			return fmt.Errorf("platform: discovery: %w", errNoProgress)
-		case alive && conn.FullyRead():
+		case alive && fullyRead:
 			return nil
+		case endedBefore && fullyRead:
+			return fmt.Errorf("platform: discovery: %w", errNoProgress)
 		case !alive && d.PollWithin == 0:
 			s.requestRetry()
 		}
