TestCertificateReloadUnderLoad opens its requests one by one

Cause: the 1,000 requests began at once, with a TLS handshake each, as no HTTP/2 connection was up. With the race detector on two processors the handshakes take longer than the 2 s for which net/http's server waits for SETTINGS, and it closes connections to which requests had been assigned already. Change: a request begins when the one before has reached the backend. Reloads still happen during 1,000 open requests; what is claimed of them is unchanged. A doc comment stands at its function again.

--- a/httpproxy/tls_test.go
+++ b/httpproxy/tls_test.go
@@ -24,11 +24,11 @@
 	"pumicecroft/internal/testcerts"
 )
 
-// startTLSListener serves a fixture's proxy as the daemon does, with the [tls] section of its file.
 // maxTLSRequestTimeout is the longest deadline of the classes behind startTLSListener. The listener cuts responses that
 // end later than that.
 const maxTLSRequestTimeout = time.Hour
 
+// startTLSListener serves a fixture's proxy as the daemon does, with the [tls] section of its file.
 func startTLSListener(t testing.TB, fx *fixture) (addr string, store *certs.Store) {
 	t.Helper()
 	config, store, err := httpproxyconfig.ListenerTLS(&fx.file, os.ReadFile, time.Now, slog.New(slog.DiscardHandler))
@@ -100,10 +100,9 @@
 			first.CompareAndSwap(nil, err.Error())
 		}
 	}
+	// One by one: 1,000 TLS handshakes at once can take longer than HTTP/2 servers wait for SETTINGS.
 	for range 1000 {
 		wg.Go(func() { fail(get(heldClient, "/held")) })
-	}
-	for range 1000 {
 		select {
 		case <-held:
 		case <-time.After(3 * testTimeout):
