platform: Sync reads both parts of the watch's state under one lock

Sync read caughtUp, released the lock and then looked whether all bytes were read. An update that was reported between the two made it return an error although everything had been reported; callers go on in either case, so it cost nothing but a wrong result. Change: the connection is looked at under the lock. The reader sets caughtUp under it before it reads on. Measured: TestSync and TestSyncWaitsForFirstUpdateAfterOutage pass 300 of 300; the wrong result was not seen in 150 runs before.

--- a/internal/platform/watchstate.go
+++ b/internal/platform/watchstate.go
@@ -102,8 +102,9 @@
 		changed, conn := s.changed, s.conn
 		alive := s.caughtUp && time.Since(s.progressAt) < watchTimeout
 		endedBefore := !s.caughtUp && s.endedAt.Before(since)
-		s.mu.Unlock()
+		// Under the lock: otherwise an update could be reported, and caughtUp set, between the two reads.
 		fullyRead := conn == nil || conn.FullyRead()
+		s.mu.Unlock()
 		switch {
 		case alive && fullyRead:
 			return nil
