fakes: the Consul agent keeps its port while it refuses connections

Seen: beside load, TestCachedEndpoints (consul) failed: "bind: address already in use" as the agent came back. Cause: the fake agent closed its listener to refuse connections and listened on the same port later. Meanwhile the port was free, and the system gives free ports to other listeners and connections. Change: a socket that is bound and never listens holds the port (portReservation); both allow to share it. Connections are refused as before. The listener is closed by the agent itself: a server whose Serve had not begun yet left it open, so an agent that was told to refuse at once took connections.

--- a/internal/fakes/consul.go
+++ b/internal/fakes/consul.go
@@ -80,9 +80,10 @@
 // datacenter, dc1. It understands filters of the form Service.Meta.KEY == "VALUE". It is safe for concurrent use.
 type Consul struct {
 	tls  *tls.Config
-	addr string
+	port *portReservation // kept while the agent refuses connections
 
 	mu             sync.Mutex
+	listener       net.Listener
 	server         *http.Server
 	index          uint64
 	serviceIndexes map[string]uint64 // modify index of the last change, by service
@@ -96,20 +97,23 @@
 
 // StartConsul starts a fake agent on a free loopback port. With a TLS configuration, it speaks TLS.
 func StartConsul(config *tls.Config) (*Consul, error) {
+	port, err := reservePort()
+	if err != nil {
+		return nil, err
+	}
 	c := &Consul{
-		tls: config, index: 10, serviceIndexes: map[string]uint64{}, instances: map[string]*instance{},
+		tls: config, port: port, index: 10, serviceIndexes: map[string]uint64{}, instances: map[string]*instance{},
 		changed: make(chan struct{}),
 	}
-	return c, c.listen("127.0.0.1:0")
+	return c, c.listen()
 }
 
-// listen starts the server on an address.
-func (c *Consul) listen(addr string) error {
-	ln, err := net.Listen("tcp", addr)
+// listen starts the server.
+func (c *Consul) listen() error {
+	ln, err := c.port.listen()
 	if err != nil {
 		return err
 	}
-	c.addr = ln.Addr().String()
 	if c.tls != nil {
 		ln = tls.NewListener(ln, c.tls)
 	}
@@ -121,13 +125,13 @@
 	mux.HandleFunc("PUT /v1/agent/service/maintenance/{id}", c.handleMaintenance)
 	mux.HandleFunc("PUT /v1/agent/check/update/{check}", c.handleCheckUpdate)
 	server := &http.Server{Handler: c.withFaults(mux), ErrorLog: log.New(io.Discard, "", 0)}
-	c.server = server
+	c.listener, c.server = ln, server
 	go func() { _ = server.Serve(ln) }()
 	return nil
 }
 
 // Addr returns the address that the agent listens on.
-func (c *Consul) Addr() string { return c.addr }
+func (c *Consul) Addr() string { return c.port.addr.String() }
 
 // Close stops the agent and its timers.
 func (c *Consul) Close() {
@@ -137,7 +141,15 @@
 	for _, registered := range c.instances {
 		registered.stopTimers()
 	}
-	c.server.Close()
+	_ = c.stopListening()
+	c.port.release()
+}
+
+// stopListening closes the listener and all connections.
+func (c *Consul) stopListening() error {
+	err := c.listener.Close() // the server would close it only once Serve has begun
+	_ = c.server.Close()      // returns that the listener is closed
+	return err
 }
 
 // SetFault makes the agent fail in one way, or recover with ConsulHealthy.
@@ -148,10 +160,10 @@
 	c.fault = fault
 	c.notifyWatchers()
 	if fault == ConsulRefusesConnections && previous != ConsulRefusesConnections {
-		return c.server.Close()
+		return c.stopListening()
 	}
 	if previous == ConsulRefusesConnections && fault != ConsulRefusesConnections {
-		return c.listen(c.addr)
+		return c.listen()
 	}
 	return nil
 }
--- a/internal/fakes/fakes_test.go
+++ b/internal/fakes/fakes_test.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -284,3 +287,31 @@
 		t.Errorf("got %v with status %d, error %v; want lost", r, r.Status, r.Err)
 	}
 }
+
+// Guards against "address already in use" when an agent recovers: while it refuses connections, the operating system
+// must not give its port to another server.
+func TestConsulKeepsItsPort(t *testing.T) {
+	agent, err := StartConsul(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer agent.Close()
+	if err := agent.SetFault(ConsulRefusesConnections); err != nil {
+		t.Fatal(err)
+	}
+	if ln, err := net.Listen("tcp", agent.Addr()); err == nil {
+		_ = ln.Close()
+		t.Error("another server listens on the agent's port")
+	}
+	if conn, err := net.Dial("tcp", agent.Addr()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("connection to the agent: %v, error %v, want %v", conn, err, syscall.ECONNREFUSED)
+	}
+	if err := agent.SetFault(ConsulHealthy); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", agent.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+}
