platform: one condition says whether a watch's connection is fully read

Need: seen on reading the change again. Sync had its own copy of the condition of watchState.fullyRead, as it holds the lock that fullyRead takes. Change: fullyReadLocked serves both. The idle timer's check now holds the lock while it looks at the connection, as Sync does; the connection's callbacks take the lock only after its own is released.

--- a/internal/platform/watchstate.go
+++ b/internal/platform/watchstate.go
@@ -63,11 +63,13 @@
 // connection.
 func (s *watchState) fullyRead() bool {
 	s.mu.Lock()
-	conn := s.conn
-	s.mu.Unlock()
-	return conn == nil || conn.FullyRead()
+	defer s.mu.Unlock()
+	return s.fullyReadLocked()
 }
 
+// fullyReadLocked is fullyRead for callers that hold the lock.
+func (s *watchState) fullyReadLocked() bool { return s.conn == nil || s.conn.FullyRead() }
+
 // requestRetry makes the next watch start at once instead of after its backoff delay.
 func (s *watchState) requestRetry() {
 	select {
@@ -99,11 +101,11 @@
 		if s.changed == nil {
 			s.changed = make(chan struct{})
 		}
-		changed, conn := s.changed, s.conn
+		changed := s.changed
 		alive := s.caughtUp && time.Since(s.progressAt) < watchTimeout
 		endedBefore := !s.caughtUp && s.endedAt.Before(since)
 		// Under the lock: otherwise an update could be reported, and caughtUp set, between the two reads.
-		fullyRead := conn == nil || conn.FullyRead()
+		fullyRead := s.fullyReadLocked()
 		s.mu.Unlock()
 		switch {
 		case alive && fullyRead:
