review: case 10, an order that a server has run is refused as harmless and runs twice

One of six servers runs orders and answers none for 8 s. Orders that wait there until their deadline are answered 503, "No backend has taken it; trying again is harmless", and [keys] forgets their keys. Repeated 10 s later they run again.

--- a/review/trial/frozen.go
+++ b/review/trial/frozen.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	gateway, err := t.serveFile("gateway", listen, fmt.Sprintf(`listen = %q
+	gateway, err := t.serveFile(listen, fmt.Sprintf(`listen = %q
 
 [[service]]
 name = "shop"
--- a/review/trial/leavers.go
+++ b/review/trial/leavers.go
@@ -39,7 +39,7 @@
 	if addr, err = freeAddr(); err != nil {
 		return nil, "", err
 	}
-	gateway, err = t.serveFile("gateway", addr, fmt.Sprintf(`listen = %q
+	gateway, err = t.serveFile(addr, fmt.Sprintf(`listen = %q
 
 [[class]]
 name = "stock-lookup"
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -31,6 +31,7 @@
 	"second-answer":  secondAnswer,
 	"leavers":        leavers,
 	"crowd":          crowd,
+	"refused-key":    refusedKey,
 }
 
 // standIns maps the names of the stand-ins to what they do. Each runs in a process of its own until it is
--- a/review/trial/platform.go
+++ b/review/trial/platform.go
@@ -154,7 +154,7 @@
 	t.note("NODE_CONFIG:\n%s", config)
 	env := []string{"NODE_CONFIG=" + file, "NODE_NAME=n0", "NODE_LISTEN=" + listen, "NODE_DISCOVERY=" + d.addr,
 		"TMPDIR=" + t.dir}
-	p, err := t.startGateway("gateway", env, "")
+	p, err := t.startGateway(env, "")
 	if err != nil {
 		return nil, err
 	}
--- a/review/trial/trial.go
+++ b/review/trial/trial.go
@@ -23,7 +23,6 @@
 	mu        sync.Mutex
 	record    *os.File
 	processes []*process
-	taken     []net.Listener // reserve ports until close
 }
 
 func newTrial(record string) (*trial, error) {
@@ -48,9 +47,6 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, ln := range t.taken {
-		ln.Close()
-	}
 	_ = t.record.Close()
 	_ = os.RemoveAll(t.dir)
 }
@@ -179,7 +175,7 @@
 var runLine = regexp.MustCompile(`(?m)^run = "(.*?)"`)
 
 // startGateway starts the gateway by the line run of the deploy file, to which arguments may be added.
-func (t *trial) startGateway(name string, env []string, arguments string) (*process, error) {
+func (t *trial) startGateway(env []string, arguments string) (*process, error) {
 	text, err := os.ReadFile("deploy/balancer.toml")
 	if err != nil {
 		return nil, err
@@ -188,18 +184,18 @@
 	if match == nil {
 		return nil, errors.New("the deploy file has no line run")
 	}
-	return t.start(name, env, "/bin/sh", "-c", strings.TrimSpace(string(match[1])+" "+arguments))
+	return t.start("gateway", env, "/bin/sh", "-c", strings.TrimSpace(string(match[1])+" "+arguments))
 }
 
 // serveFile writes an operator's file and starts a gateway by it, which is ready when it accepts
 // connections at addr.
-func (t *trial) serveFile(name, addr, text string) (*process, error) {
-	file := filepath.Join(t.dir, name+".toml")
+func (t *trial) serveFile(addr, text string) (*process, error) {
+	file := filepath.Join(t.dir, "gateway.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	t.note("%s: operator's file:\n%s", name, text)
-	p, err := t.startGateway(name, nil, "serve "+file)
+	t.note("operator's file:\n%s", text)
+	p, err := t.startGateway(nil, "serve "+file)
 	if err != nil {
 		return nil, err
 	}
